Set down the shape: folders, core types, checks and design

Ruled out: one network layer with handlers by message (slices would share state); error codes without a verdict (a caller could not tell whether a retry is safe).

--- /dev/null
+++ b/gooseberrymoor/base/base_test.cpp
@@ -0,0 +1,82 @@
+#include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/base/endpoint.h"
+#include "gooseberrymoor/base/latency_histogram.h"
+#include "gooseberrymoor/base/manual_time.h"
+#include "gooseberrymoor/base/request_error.h"
+#include "gooseberrymoor/base/verdict.h"
+
+#include <doctest/doctest.h>
+
+using namespace gooseberrymoor;
+
+TEST_CASE("The names of enumerators")
+{
+    SUBCASE("a verdict has a name")
+    {
+        CHECK(nameOf(verdict::may_have_run) == "may_have_run");
+        SUBCASE("and is found again by it")
+        {
+            CHECK(fromName<verdict>("not_run") == verdict::not_run);
+        }
+        SUBCASE("but an unknown name finds nothing")
+        {
+            CHECK(!fromName<verdict>("perhaps"));
+        }
+    }
+    SUBCASE("every kind of error has a name of its own")
+    {
+        for (const auto &[kind, name] : names(error_kind {}))
+            CHECK(fromName<error_kind>(name) == kind);
+    }
+}
+
+TEST_CASE("An endpoint is an IP number and a port")
+{
+    SUBCASE("IPv4 is read and written")
+    {
+        const auto value = parseEndpoint("127.0.0.1:80");
+        REQUIRE(value);
+        CHECK(toString(*value) == "127.0.0.1:80");
+    }
+    SUBCASE("IPv6 stands in brackets")
+    {
+        const auto value = parseEndpoint("[::1]:80");
+        REQUIRE(value);
+        CHECK(toString(*value) == "[::1]:80");
+    }
+    SUBCASE("everything else is refused")
+    {
+        for (const char *text : { "localhost:80", "127.0.0.1", "127.0.0.1:0", "127.0.0.1:99999",
+                                  "127.0.0.1:8x", "::1:80", ":80", "" })
+            CHECK_MESSAGE(!parseEndpoint(text), text);
+    }
+}
+
+TEST_CASE("Virtual time moves only when told")
+{
+    manual_time clock;
+    const time_point start = millis_clock::now();
+    CHECK(millis_clock::now() == start);
+    SUBCASE("and then by exactly the step")
+    {
+        clock.advance(duration(25));
+        CHECK(millis_clock::now() - start == duration(25));
+    }
+}
+
+TEST_CASE("A latency histogram")
+{
+    latency_histogram histogram;
+    SUBCASE("is zero while empty")
+    {
+        CHECK(histogram.quantile(0.5) == duration(0));
+    }
+    SUBCASE("finds quantiles within a bucket")
+    {
+        for (int i = 1; i <= 1000; ++i)
+            histogram.record(duration(i));
+        CHECK(histogram.count() == 1000);
+        CHECK(histogram.quantile(0.5).count() >= 500);
+        CHECK(histogram.quantile(0.5).count() <= 540);
+    }
+}
--- /dev/null
+++ b/gooseberrymoor/base/internal/net_impl.cpp
@@ -0,0 +1,3 @@
+#include <boost/asio/impl/src.hpp>
+#include <boost/beast/src.hpp>
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/gooseberrymoor/base/request_error.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "gooseberrymoor/base/name_table.h"
+#include "gooseberrymoor/base/verdict.h"
+
+#include <string>
+
+namespace gooseberrymoor {
+
+// Why a request, or one leaf request of a query, has no answer.
+enum class error_kind {
+    none,
+    bad_request,
+    too_large,
+    unknown_service,
+    unknown_shard,
+    deadline_passed,
+    overloaded,
+    draining,
+    no_target,
+    no_owner,
+    not_owner,
+    link_lost,
+    target_lost,
+    target_shed,
+    target_failed,
+    timed_out,
+    cancelled,
+    snapshot_unavailable,
+    malformed_answer,
+    not_ready,
+};
+
+constexpr name_table<error_kind, 20> names(error_kind)
+{
+    return { { { error_kind::none, "none" },
+               { error_kind::bad_request, "bad_request" },
+               { error_kind::too_large, "too_large" },
+               { error_kind::unknown_service, "unknown_service" },
+               { error_kind::unknown_shard, "unknown_shard" },
+               { error_kind::deadline_passed, "deadline_passed" },
+               { error_kind::overloaded, "overloaded" },
+               { error_kind::draining, "draining" },
+               { error_kind::no_target, "no_target" },
+               { error_kind::no_owner, "no_owner" },
+               { error_kind::not_owner, "not_owner" },
+               { error_kind::link_lost, "link_lost" },
+               { error_kind::target_lost, "target_lost" },
+               { error_kind::target_shed, "target_shed" },
+               { error_kind::target_failed, "target_failed" },
+               { error_kind::timed_out, "timed_out" },
+               { error_kind::cancelled, "cancelled" },
+               { error_kind::snapshot_unavailable, "snapshot_unavailable" },
+               { error_kind::malformed_answer, "malformed_answer" },
+               { error_kind::not_ready, "not_ready" } } };
+}
+
+// A refusal or failure of one request. Value type.
+struct request_error
+{
+    error_kind kind = error_kind::none;
+    verdict outcome = verdict::not_run;
+    std::string detail;
+};
+
+} // namespace gooseberrymoor
