Add the thin whole path from caller to target

Cause: the first users need a request served end to end before any part is refined. Ruled out: connections from every node to every target, since an even split of 3 to 6 slots over 9 nodes gives each less than one slot and a cold target bears about one request in all. Change: settings, store client (JSON form of the etcd v3 API), configuration, peer links, view by compare-and-swap, owners by rendezvous hash, admission, target connections, query fan-out, entry, daemon, operators' command, stand-ins and tools/demo. Aggregates that are temporaries of a co_await expression are destroyed twice by g++ 12 (seen as an abort in http_test); the types passed there have constructors now.

--- /dev/null
+++ b/gooseberrymoor/configuration/configuration_keys.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+
+namespace gooseberrymoor {
+
+// Where a cell's configuration lies in the store. Value type.
+//
+// Every accepted change writes the head key, and its condition is the head's last revision: so
+// changes are in one order, and the head's revision is the revision of the configuration.
+class configuration_keys
+{
+public:
+    explicit configuration_keys(const std::string &cell)
+        : m_root("/gooseberrymoor/" + cell + "/config/")
+    {
+    }
+
+    const std::string &root() const { return m_root; }
+    std::string head() const { return m_root + "head"; }
+    std::string zonesOut() const { return m_root + "zones_out"; }
+    std::string servicePrefix() const { return m_root + "services/"; }
+    std::string service(const std::string &name) const { return servicePrefix() + name; }
+
+private:
+    std::string m_root;
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/configuration/service_config.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "gooseberrymoor/configuration/group_config.h"
+#include "gooseberrymoor/configuration/snapshot_config.h"
+#include "gooseberrymoor/configuration/target_limits.h"
+#include "gooseberrymoor/configuration/version_config.h"
+
+#include <string>
+#include <vector>
+
+namespace gooseberrymoor {
+
+// A query service as its operators describe it. Value type.
+struct service_config
+{
+    std::string name;
+    target_limits limits;
+    std::vector<group_config> groups;
+    std::vector<snapshot_config> snapshots; // oldest first; queries choose the newest
+    std::vector<version_config> versions;
+
+    // The group called `name`, or null.
+    const group_config *findGroup(const std::string &group) const;
+    // The snapshot with `id`, or null.
+    const snapshot_config *findSnapshot(const std::string &id) const;
+    // The version called `version`, or null.
+    const version_config *findVersion(const std::string &version) const;
+
+    bool operator==(const service_config &) const = default;
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/entry/entry_handler.cpp
@@ -0,0 +1,113 @@
+#include "gooseberrymoor/entry/entry_handler.h"
+
+#include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/entry/state_source.h"
+#include "gooseberrymoor/http/refusal.h"
+#include "gooseberrymoor/query/query_runner.h"
+#include "gooseberrymoor/query/routing_table.h"
+
+namespace gooseberrymoor {
+
+namespace {
+
+constexpr std::string_view services_path = "/v1/services/";
+
+request_error unknownPath()
+{
+    return { error_kind::bad_request, verdict::not_run, "no such path; see docs/CALLERS.md" };
+}
+
+} // namespace
+
+entry_handler::entry_handler(query_runner &runner, entry_admission &admission, directory entries,
+                             duration directoryTtl, timeout_limits timeouts,
+                             const state_source &state, counters &events)
+    : m_runner(runner), m_admission(admission), m_entries(std::move(entries)),
+      m_directoryTtl(directoryTtl), m_timeouts(timeouts), m_state(state), m_events(events)
+{
+}
+
+asio::awaitable<http_reply> entry_handler::handle(http_request request)
+{
+    const std::string path = request.path.substr(0, request.path.find('?'));
+    if (path == "/v1/entries")
+        co_return encodeDirectory(m_entries(), m_directoryTtl);
+    if (path == "/v1/dump")
+        co_return http_reply(200, m_state.dump());
+    if (path == "/metrics")
+        co_return http_reply(200, m_state.metrics(), "text/plain; version=0.0.4");
+    if (path.starts_with(services_path))
+        co_return co_await handleService(request, path.substr(services_path.size()));
+    co_return refuseWith(unknownPath());
+}
+
+http_reply entry_handler::refuse(error_kind kind)
+{
+    return refuseWith({ kind, verdict::not_run, "" });
+}
+
+asio::awaitable<http_reply> entry_handler::handleService(const http_request &request,
+                                                         std::string path)
+{
+    const std::size_t slash = path.find('/');
+    const std::string service = path.substr(0, slash);
+    const std::string action = slash == std::string::npos ? "" : path.substr(slash + 1);
+    if (request.method != "POST" || (action != "query" && action != "request"))
+        co_return refuseWith(unknownPath());
+    if (const auto refused = m_admission.refusal(m_runner.running()))
+        co_return refuseWith(*refused);
+    if (action == "query")
+        co_return co_await handleQuery(service, request.body);
+    co_return co_await handleShardRequest(service, request.body);
+}
+
+asio::awaitable<http_reply> entry_handler::handleQuery(std::string service, std::string body)
+{
+    const time_point began = millis_clock::now();
+    auto request = decodeQuery(service, body, m_timeouts, began);
+    if (!request)
+        co_return refuseWith(request.error());
+    if (const auto refused = check(*request))
+        co_return refuseWith(*refused);
+    const query_answer answer = co_await m_runner.run(std::move(*request));
+    m_queryLatency.record(millis_clock::now() - began);
+    m_events.add("queries");
+    m_events.add("shards_asked", answer.shards());
+    m_events.add("shards_covered", answer.results.size());
+    m_events.add("extra_leaf_requests", static_cast<std::uint64_t>(answer.extraRequests));
+    co_return encodeAnswer(answer);
+}
+
+asio::awaitable<http_reply> entry_handler::handleShardRequest(std::string service, std::string body)
+{
+    auto request = decodeShardRequest(service, body, m_timeouts, millis_clock::now());
+    if (!request)
+        co_return refuseWith(request.error());
+    if (const auto refused = check(*request))
+        co_return refuseWith(*refused);
+    const query_answer answer = co_await m_runner.run(std::move(*request));
+    m_events.add("shard_requests");
+    co_return encodeShardAnswer(answer);
+}
+
+std::optional<request_error> entry_handler::check(const query_request &request) const
+{
+    const auto routes = m_runner.routes();
+    const service_config *service = routes ? routes->findService(request.service) : nullptr;
+    if (!service || service->snapshots.empty())
+        return request_error { error_kind::unknown_service, verdict::not_run, request.service };
+    const snapshot_config &snapshot = service->snapshots.back();
+    for (const std::string &shard : request.shards) {
+        if (!snapshot.groupOfShard.contains(shard))
+            return request_error { error_kind::unknown_shard, verdict::not_run, shard };
+    }
+    return std::nullopt;
+}
+
+http_reply entry_handler::refuseWith(const request_error &error)
+{
+    m_events.add("refused_" + std::string(nameOf(error.kind)));
+    return toReply(error);
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/entry/entry_handler.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "gooseberrymoor/base/latency_histogram.h"
+#include "gooseberrymoor/entry/caller_codec.h"
+#include "gooseberrymoor/entry/entry_admission.h"
+#include "gooseberrymoor/http/http_handler.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace gooseberrymoor {
+
+class counters;
+class query_runner;
+class state_source;
+
+// Answers callers and operators over HTTP; docs/CALLERS.md lists the paths. Not thread-safe.
+class entry_handler : public http_handler
+{
+public:
+    using directory = std::function<std::vector<endpoint>()>;
+
+    // References must outlive the handler.
+    entry_handler(query_runner &runner, entry_admission &admission, directory entries,
+                  duration directoryTtl, timeout_limits timeouts, const state_source &state,
+                  counters &events);
+
+    asio::awaitable<http_reply> handle(http_request request) override;
+    http_reply refuse(error_kind kind) override;
+
+    // Time to answer of queries.
+    const latency_histogram &queryLatency() const { return m_queryLatency; }
+
+private:
+    asio::awaitable<http_reply> handleService(const http_request &request, std::string path);
+    asio::awaitable<http_reply> handleQuery(std::string service, std::string body);
+    asio::awaitable<http_reply> handleShardRequest(std::string service, std::string body);
+    std::optional<request_error> check(const query_request &request) const;
+    http_reply refuseWith(const request_error &error);
+
+    query_runner &m_runner;
+    entry_admission &m_admission;
+    directory m_entries;
+    duration m_directoryTtl;
+    timeout_limits m_timeouts;
+    const state_source &m_state;
+    counters &m_events;
+    latency_histogram m_queryLatency;
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/http/http_message.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <string>
+#include <utility>
+
+namespace gooseberrymoor {
+
+// One HTTP request without its connection. Value type.
+// It has a constructor because g++ 12 destroys a brace-initialized aggregate twice if it is a
+// temporary in a co_await expression.
+struct http_request
+{
+    http_request(std::string requestMethod, std::string requestPath, std::string requestBody = "")
+        : method(std::move(requestMethod)), path(std::move(requestPath)),
+          body(std::move(requestBody))
+    {
+    }
+
+    std::string method;
+    std::string path; // with the query string
+    std::string body; // JSON
+};
+
+// The answer to an `http_request`. Value type.
+struct http_reply
+{
+    http_reply() = default;
+    http_reply(unsigned replyStatus, std::string replyBody,
+               std::string replyContentType = "application/json")
+        : status(replyStatus), body(std::move(replyBody)), contentType(std::move(replyContentType))
+    {
+    }
+
+    unsigned status = 200;
+    std::string body;
+    std::string contentType = "application/json";
+    bool closeAfter = false; // the server closes the connection after this reply
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/http/http_server.cpp
@@ -0,0 +1,141 @@
+#include "gooseberrymoor/http/http_server.h"
+
+#include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/base/task.h"
+#include "gooseberrymoor/base/timer.h"
+#include "gooseberrymoor/http/http_handler.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace gooseberrymoor {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+constexpr duration accept_pause { 20 }; // after a failed accept, such as too many open files
+
+http::response<http::string_body> toMessage(http_reply reply, unsigned version, bool keepAlive)
+{
+    http::response<http::string_body> message(static_cast<http::status>(reply.status), version);
+    message.set(http::field::content_type, reply.contentType);
+    message.keep_alive(keepAlive && !reply.closeAfter);
+    message.body() = std::move(reply.body);
+    message.prepare_payload();
+    return message;
+}
+
+bool isEndOfConnection(const boost::system::error_code &error)
+{
+    return error == http::error::end_of_stream || error == asio::error::connection_reset
+        || error == asio::error::operation_aborted || error == asio::error::eof
+        || error == asio::error::bad_descriptor;
+}
+
+} // namespace
+
+http_server::http_server(asio::any_io_executor executor, http_handler &handler, counters &events,
+                         std::size_t maxBodyBytes)
+    : m_executor(std::move(executor)), m_handler(handler), m_events(events),
+      m_maxBodyBytes(maxBodyBytes), m_acceptor(m_executor)
+{
+}
+
+http_server::~http_server() = default;
+
+tl::expected<void, std::string> http_server::start(endpoint address)
+{
+    const tcp::endpoint local(asio::ip::make_address(address.address), address.port);
+    boost::system::error_code error;
+    m_acceptor.open(local.protocol(), error);
+    if (!error)
+        m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        m_acceptor.bind(local, error);
+    if (!error)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return tl::unexpected(toString(address) + ": " + error.message());
+    startTask(m_executor, m_events, "http_accept", acceptLoop());
+    return {};
+}
+
+void http_server::stopAccepting()
+{
+    m_stopping = true;
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+}
+
+asio::awaitable<void> http_server::acceptLoop()
+{
+    while (!m_stopping) {
+        auto [error, socket] = co_await m_acceptor.async_accept(as_result);
+        if (m_stopping)
+            co_return;
+        if (error) {
+            m_events.add("http_accept_failed");
+            timer pause(m_executor, millis_clock::now() + accept_pause);
+            co_await pause.async_wait(as_result);
+            continue;
+        }
+        if (!m_handler.openConnection()) {
+            m_events.add("http_connection_refused");
+            continue;
+        }
+        startTask(m_executor, m_events, "http_connection", serve(std::move(socket)));
+    }
+}
+
+asio::awaitable<void> http_server::serve(tcp::socket socket)
+{
+    ++m_open;
+    boost::system::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    try {
+        co_await serveRequests(socket);
+    } catch (const std::exception &) {
+        m_events.add("http_connection_exceptions");
+    }
+    socket.shutdown(tcp::socket::shutdown_both, ignored);
+    --m_open;
+    m_handler.closeConnection();
+}
+
+asio::awaitable<void> http_server::serveRequests(tcp::socket &socket)
+{
+    beast::flat_buffer buffer;
+    bool keepAlive = true;
+    while (keepAlive) {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(m_maxBodyBytes);
+        const auto [readError, read] = co_await http::async_read(socket, buffer, parser, as_result);
+        if (isEndOfConnection(readError))
+            co_return;
+        http_reply reply;
+        unsigned version = 11;
+        if (readError) {
+            const bool tooLarge = readError == http::error::body_limit;
+            m_events.add(tooLarge ? "http_too_large" : "http_malformed");
+            reply = m_handler.refuse(tooLarge ? error_kind::too_large : error_kind::bad_request);
+            keepAlive = false;
+        } else {
+            auto message = parser.release();
+            version = message.version();
+            keepAlive = message.keep_alive();
+            reply = co_await m_handler.handle({ std::string(message.method_string()),
+                                                std::string(message.target()),
+                                                std::move(message.body()) });
+        }
+        keepAlive = keepAlive && !m_stopping && !reply.closeAfter;
+        const auto message = toMessage(std::move(reply), version, keepAlive);
+        const auto [writeError, written] = co_await http::async_write(socket, message, as_result);
+        if (writeError)
+            co_return;
+    }
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/http/http_server.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "gooseberrymoor/base/endpoint.h"
+#include "gooseberrymoor/base/net.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <tl/expected.hpp>
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+namespace gooseberrymoor {
+
+class counters;
+class http_handler;
+
+// Serves HTTP/1.1 on one address: one task for each connection, one request of it at a time.
+// Not thread-safe. Handler and counters must outlive the executor's last task.
+class http_server
+{
+public:
+    http_server(asio::any_io_executor executor, http_handler &handler, counters &events,
+                std::size_t maxBodyBytes);
+    ~http_server();
+
+    // Binds `address` and starts to accept; the error is for people.
+    tl::expected<void, std::string> start(endpoint address);
+
+    // Accepts no more connections; those open close after their next reply.
+    void stopAccepting();
+
+    // Connections open now.
+    std::size_t openConnections() const { return m_open; }
+
+private:
+    asio::awaitable<void> acceptLoop();
+    asio::awaitable<void> serve(asio::ip::tcp::socket socket);
+    asio::awaitable<void> serveRequests(asio::ip::tcp::socket &socket);
+
+    asio::any_io_executor m_executor;
+    http_handler &m_handler;
+    counters &m_events;
+    std::size_t m_maxBodyBytes;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::size_t m_open = 0;
+    bool m_stopping = false;
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/membership/cell_view.cpp
@@ -0,0 +1,53 @@
+#include "gooseberrymoor/membership/cell_view.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace gooseberrymoor {
+
+namespace {
+
+std::uint64_t rankOf(std::string_view target, std::string_view name)
+{
+    const std::uint64_t seed = XXH3_64bits(name.data(), name.size());
+    return XXH3_64bits_withSeed(target.data(), target.size(), seed);
+}
+
+} // namespace
+
+const member *cell_view::find(std::string_view name) const
+{
+    const auto found = std::ranges::find(members, name, &member::name);
+    return found == members.end() ? nullptr : &*found;
+}
+
+void cell_view::put(member value)
+{
+    remove(value.name);
+    const auto place = std::ranges::upper_bound(members, value.name, {}, &member::name);
+    members.insert(place, std::move(value));
+}
+
+void cell_view::remove(std::string_view name)
+{
+    std::erase_if(members, [name](const member &candidate) { return candidate.name == name; });
+}
+
+const member *ownerOf(const cell_view &view, std::string_view target)
+{
+    const member *best = nullptr;
+    std::uint64_t bestRank = 0;
+    for (const member &candidate : view.members) {
+        if (candidate.leaving)
+            continue;
+        const std::uint64_t rank = rankOf(target, candidate.name);
+        if (!best || rank > bestRank) {
+            best = &candidate;
+            bestRank = rank;
+        }
+    }
+    return best;
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/node/log4cplus_event_log.cpp
@@ -0,0 +1,64 @@
+#include "gooseberrymoor/node/log4cplus_event_log.h"
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+namespace gooseberrymoor {
+
+namespace {
+
+constexpr const char *line_pattern = "%D{%Y-%m-%dT%H:%M:%S.%q}Z %p node=%c %m%n";
+
+bool needsQuotes(const std::string &value)
+{
+    return value.empty() || value.find_first_of(" \"=\n") != std::string::npos;
+}
+
+std::string quoted(const std::string &value)
+{
+    if (!needsQuotes(value))
+        return value;
+    std::string text = "\"";
+    for (const char c : value) {
+        if (c == '"' || c == '\\')
+            text += '\\';
+        text += c == '\n' ? ' ' : c;
+    }
+    return text + "\"";
+}
+
+} // namespace
+
+struct log4cplus_event_log::implementation
+{
+    log4cplus::Initializer initializer;
+    log4cplus::Logger logger;
+};
+
+log4cplus_event_log::log4cplus_event_log(const std::string &nodeName)
+    : m_implementation(std::make_unique<implementation>())
+{
+    constexpr bool toStandardError = true;
+    constexpr bool flushEachLine = true;
+    log4cplus::SharedAppenderPtr appender(
+        new log4cplus::ConsoleAppender(toStandardError, flushEachLine));
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(line_pattern));
+    m_implementation->logger = log4cplus::Logger::getInstance(nodeName);
+    m_implementation->logger.setLogLevel(log4cplus::INFO_LOG_LEVEL);
+    m_implementation->logger.addAppender(appender);
+}
+
+log4cplus_event_log::~log4cplus_event_log() = default;
+
+void log4cplus_event_log::write(std::string_view event, std::initializer_list<field> fields)
+{
+    std::string line = "event=" + std::string(event);
+    for (const auto &[key, value] : fields)
+        line += " " + std::string(key) + "=" + quoted(value);
+    LOG4CPLUS_INFO(m_implementation->logger, line);
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/node/node.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "gooseberrymoor/admission/leaf_server.h"
+#include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/base/net.h"
+#include "gooseberrymoor/base/signal.h"
+#include "gooseberrymoor/configuration/configuration_follower.h"
+#include "gooseberrymoor/configuration/configuration_holder.h"
+#include "gooseberrymoor/entry/entry_admission.h"
+#include "gooseberrymoor/entry/entry_handler.h"
+#include "gooseberrymoor/http/http_server.h"
+#include "gooseberrymoor/membership/membership_keeper.h"
+#include "gooseberrymoor/membership/view_listener.h"
+#include "gooseberrymoor/node/state_report.h"
+#include "gooseberrymoor/peer/peer_network.h"
+#include "gooseberrymoor/query/fixed_hedge_policy.h"
+#include "gooseberrymoor/query/leaf_gateway.h"
+#include "gooseberrymoor/query/least_outstanding_selector.h"
+#include "gooseberrymoor/query/query_runner.h"
+#include "gooseberrymoor/settings/node_settings.h"
+#include "gooseberrymoor/store/etcd_store.h"
+#include "gooseberrymoor/target/target_owner.h"
+
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <string>
+
+namespace gooseberrymoor {
+
+class event_log;
+
+// One node of the query tier: all slices put together on one executor. Not thread-safe.
+class node : public view_listener
+{
+public:
+    // `log` must outlive the node, and the node the executor's last task.
+    node(asio::any_io_executor executor, node_settings settings, event_log &log);
+
+    // Opens the node's ports and starts its tasks; the error is for people.
+    tl::expected<void, std::string> start();
+
+    // Leaves without cutting a request: withdraws from the directory, hands its targets over,
+    // serves callers that still keep its address, finishes what runs, and closes.
+    asio::awaitable<void> stop();
+
+    void onViewChanged(const cell_view &view) override;
+
+private:
+    asio::awaitable<void> followConfiguration();
+    void applyChanges();
+    std::vector<endpoint> directoryEntries() const;
+    bool ownsTarget(std::string_view target) const;
+    asio::awaitable<void> waitUntilIdle(time_point deadline);
+
+    asio::any_io_executor m_executor;
+    node_settings m_settings;
+    event_log &m_log;
+    counters m_events;
+    etcd_store m_store;
+    configuration_holder m_configurations;
+    configuration_follower m_follower;
+    peer_network m_network;
+    membership_keeper m_membership;
+    target_owner m_owner;
+    leaf_server m_leafServer;
+    leaf_gateway m_gateway;
+    least_outstanding_selector m_selector;
+    fixed_hedge_policy m_hedging;
+    query_runner m_runner;
+    entry_admission m_admission;
+    state_report m_report;
+    entry_handler m_handler;
+    http_server m_server;
+    signal m_wake;
+    std::int64_t m_appliedRevision = 0;
+    bool m_stopped = false;
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/operators/command/main.cpp
@@ -0,0 +1,10 @@
+#include "gooseberrymoor/operators/operator_commands.h"
+
+#include <docopt/docopt.h>
+
+int main(int argc, char *argv[])
+{
+    const auto arguments
+        = docopt::docopt(gooseberrymoor::operatorUsage(), { argv + 1, argv + argc });
+    return gooseberrymoor::runOperatorCommand(arguments);
+}
--- /dev/null
+++ b/gooseberrymoor/peer/frame.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "gooseberrymoor/peer/message_kind.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace gooseberrymoor {
+
+// One message as it travels between nodes: a header of 8 bytes, then the FlatBuffers payload.
+// Header, big-endian: payload length (4 bytes), message kind (2 bytes), zero (2 bytes).
+struct frame
+{
+    message_kind kind = message_kind::hello;
+    std::vector<std::uint8_t> payload;
+};
+
+// What is wrong with a header.
+enum class frame_fault {
+    none,
+    too_long,
+    unknown_kind,
+};
+
+constexpr name_table<frame_fault, 3> names(frame_fault)
+{
+    return { { { frame_fault::none, "none" },
+               { frame_fault::too_long, "too_long" },
+               { frame_fault::unknown_kind, "unknown_kind" } } };
+}
+
+constexpr std::size_t frame_header_bytes = 8;
+constexpr std::size_t most_frame_bytes = 4 * 1024 * 1024;
+
+// A decoded header.
+struct frame_header
+{
+    std::size_t length = 0;
+    message_kind kind = message_kind::hello;
+    frame_fault fault = frame_fault::none;
+};
+
+// Appends the frame to `out`.
+void appendFrame(std::vector<std::uint8_t> &out, message_kind kind,
+                 std::span<const std::uint8_t> payload);
+
+// Reads the header from the first `frame_header_bytes` of `bytes`.
+frame_header decodeHeader(std::span<const std::uint8_t, frame_header_bytes> bytes);
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/peer/message_kind.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "gooseberrymoor/base/name_table.h"
+
+#include <cstdint>
+
+namespace gooseberrymoor {
+
+// What a frame between nodes carries. The numbers are the wire's and never change.
+enum class message_kind : std::uint16_t {
+    hello = 1,
+    leaf_request = 10,
+    leaf_response = 11,
+    leaf_cancel = 12,
+    heartbeat = 20,
+    heartbeat_reply = 21,
+    lease_request = 22,
+    lease_reply = 23,
+    release_request = 24,
+    release_reply = 25,
+    configuration_update = 30,
+    version_evidence = 40,
+};
+
+constexpr name_table<message_kind, 12> names(message_kind)
+{
+    return { { { message_kind::hello, "hello" },
+               { message_kind::leaf_request, "leaf_request" },
+               { message_kind::leaf_response, "leaf_response" },
+               { message_kind::leaf_cancel, "leaf_cancel" },
+               { message_kind::heartbeat, "heartbeat" },
+               { message_kind::heartbeat_reply, "heartbeat_reply" },
+               { message_kind::lease_request, "lease_request" },
+               { message_kind::lease_reply, "lease_reply" },
+               { message_kind::release_request, "release_request" },
+               { message_kind::release_reply, "release_reply" },
+               { message_kind::configuration_update, "configuration_update" },
+               { message_kind::version_evidence, "version_evidence" } } };
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/peer/peer_channel.cpp
@@ -0,0 +1,51 @@
+#include "gooseberrymoor/peer/peer_channel.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace gooseberrymoor {
+
+namespace {
+
+constexpr std::size_t most_queued_bytes = 16 * 1024 * 1024;
+
+} // namespace
+
+peer_channel::peer_channel(asio::any_io_executor executor) : m_wake(std::move(executor)) { }
+
+std::uint64_t peer_channel::send(message_kind kind, std::span<const std::uint8_t> payload)
+{
+    if (!m_open || m_queued.size() + payload.size() > most_queued_bytes)
+        return 0;
+    appendFrame(m_queued, kind, payload);
+    m_wake.notify();
+    return ++m_lastPosition;
+}
+
+void peer_channel::close()
+{
+    m_open = false;
+    m_queued.clear();
+    m_wake.notify();
+}
+
+asio::awaitable<void> peer_channel::writeLoop(asio::ip::tcp::socket &socket)
+{
+    std::vector<std::uint8_t> writing;
+    while (m_open) {
+        if (m_queued.empty()) {
+            co_await m_wake.wait();
+            continue;
+        }
+        // All that is queued goes out in one write.
+        writing.clear();
+        writing.swap(m_queued);
+        m_handedOver = m_lastPosition;
+        const auto [error, written]
+            = co_await asio::async_write(socket, asio::buffer(writing), as_result);
+        if (error)
+            co_return;
+    }
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/query/leaf_gateway.cpp
@@ -0,0 +1,128 @@
+#include "gooseberrymoor/query/leaf_gateway.h"
+
+#include "gooseberrymoor/admission/leaf_codec.h"
+#include "gooseberrymoor/admission/leaf_reply_sink.h"
+#include "gooseberrymoor/admission/leaf_service.h"
+#include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/peer/peer_channel.h"
+#include "gooseberrymoor/peer/peer_network.h"
+#include "gooseberrymoor/query/leaf_inbox.h"
+
+namespace gooseberrymoor {
+
+namespace {
+
+leaf_response failure(std::uint64_t id, error_kind kind, verdict outcome)
+{
+    leaf_response response;
+    response.id = id;
+    response.error = kind;
+    response.outcome = outcome;
+    return response;
+}
+
+} // namespace
+
+class leaf_gateway::local_sink : public leaf_reply_sink
+{
+public:
+    explicit local_sink(std::weak_ptr<leaf_gateway *> gateway) : m_gateway(std::move(gateway)) { }
+    void reply(leaf_response response) override
+    {
+        const std::uint64_t id = response.id;
+        if (const auto gateway = m_gateway.lock())
+            (*gateway)->completeLocal(id, std::move(response));
+    }
+
+private:
+    std::weak_ptr<leaf_gateway *> m_gateway;
+};
+
+leaf_gateway::leaf_gateway(std::string ownName, peer_network &network, leaf_service &local,
+                           counters &events)
+    : m_ownName(std::move(ownName)), m_network(network), m_local(local), m_events(events),
+      m_alive(std::make_shared<leaf_gateway *>(this))
+{
+}
+
+leaf_gateway::~leaf_gateway() = default;
+
+std::uint64_t leaf_gateway::send(leaf_call call, std::shared_ptr<leaf_inbox> inbox)
+{
+    const std::uint64_t id = ++m_lastId;
+    call.request.id = id;
+    m_events.add("leaf_requests");
+    pending &entry = m_pending[id];
+    entry = { call.attempt, call.owner, std::move(inbox), nullptr, 0 };
+    if (call.owner == m_ownName) {
+        m_local.submit(m_ownName, std::move(call.request), std::make_shared<local_sink>(m_alive));
+        return id;
+    }
+    entry.channel = m_network.channelTo(call.owner);
+    entry.position = entry.channel ? sendLeafRequest(*entry.channel, call.request) : 0;
+    if (entry.position == 0)
+        complete(id, failure(id, error_kind::link_lost, verdict::not_run));
+    return id;
+}
+
+void leaf_gateway::cancel(std::uint64_t id)
+{
+    const auto found = m_pending.find(id);
+    if (found == m_pending.end())
+        return;
+    m_events.add("leaf_cancels");
+    const auto channel = found->second.channel;
+    m_pending.erase(found);
+    if (channel)
+        sendLeafCancel(*channel, id);
+    else
+        m_local.cancel(m_ownName, id);
+}
+
+bool leaf_gateway::onFrame(const std::shared_ptr<peer_channel> &channel, const frame &message)
+{
+    auto response = decodeLeafResponse(message.payload);
+    if (!response)
+        return false;
+    const auto found = m_pending.find(response->id);
+    if (found == m_pending.end() || found->second.channel != channel) {
+        m_events.add("leaf_answers_dropped");
+        return true;
+    }
+    const std::uint64_t id = response->id;
+    complete(id, std::move(*response));
+    return true;
+}
+
+void leaf_gateway::onChannelClosed(const std::shared_ptr<peer_channel> &channel)
+{
+    std::vector<std::pair<std::uint64_t, std::uint64_t>> lost;
+    for (const auto &[id, entry] : m_pending) {
+        if (entry.channel == channel)
+            lost.emplace_back(id, entry.position);
+    }
+    for (const auto &[id, position] : lost) {
+        const verdict outcome
+            = channel->mayHaveLeft(position) ? verdict::may_have_run : verdict::not_run;
+        complete(id, failure(id, error_kind::link_lost, outcome));
+    }
+}
+
+void leaf_gateway::completeLocal(std::uint64_t id, leaf_response response)
+{
+    if (m_pending.contains(id))
+        complete(id, std::move(response));
+    else
+        m_events.add("leaf_answers_dropped");
+}
+
+void leaf_gateway::complete(std::uint64_t id, leaf_response response)
+{
+    const auto found = m_pending.find(id);
+    const auto inbox = found->second.inbox;
+    const int attempt = found->second.attempt;
+    m_pending.erase(found);
+    inbox->push(attempt, std::move(response));
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/query/least_outstanding_selector.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "gooseberrymoor/query/leaf_selector.h"
+
+#include <cstdint>
+#include <random>
+#include <unordered_map>
+
+namespace gooseberrymoor {
+
+// Chooses the candidate with the fewest requests of this node outstanding; among equals at random.
+class least_outstanding_selector : public leaf_selector
+{
+public:
+    explicit least_outstanding_selector(std::uint64_t seed);
+
+    std::optional<std::size_t> choose(const std::string &service,
+                                      const std::vector<leaf_candidate> &candidates,
+                                      const std::set<std::string> &excluded) override;
+    void onSent(const std::string &target) override;
+    void onEnded(const std::string &target) override;
+
+private:
+    std::mt19937_64 m_random;
+    std::unordered_map<std::string, int> m_outstanding;
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/query/routing_table.cpp
@@ -0,0 +1,52 @@
+#include "gooseberrymoor/query/routing_table.h"
+
+#include "gooseberrymoor/membership/cell_view.h"
+
+namespace gooseberrymoor {
+
+namespace {
+
+bool mayServe(const configuration &current, const service_config &service,
+              const target_config &target)
+{
+    const version_config *version = service.findVersion(target.version);
+    return !target.leaving && !current.zonesOut.contains(target.availabilityZone) && version
+        && !version->blocked && version->sharePermille > 0;
+}
+
+} // namespace
+
+routing_table::routing_table(std::shared_ptr<const configuration> current, const cell_view &view)
+    : m_configuration(std::move(current))
+{
+    for (const auto &[name, service] : m_configuration->services) {
+        for (const group_config &group : service.groups) {
+            auto &candidates = m_candidates[name][group.name];
+            for (const target_config &target : group.targets) {
+                if (!mayServe(*m_configuration, service, target))
+                    continue;
+                const member *owner = ownerOf(view, name + "/" + target.name);
+                if (owner)
+                    candidates.push_back({ target.name, target.version, owner->name });
+            }
+        }
+    }
+}
+
+const service_config *routing_table::findService(const std::string &name) const
+{
+    return m_configuration->findService(name);
+}
+
+const std::vector<leaf_candidate> &routing_table::candidates(const std::string &service,
+                                                             const std::string &group) const
+{
+    static const std::vector<leaf_candidate> none;
+    const auto groups = m_candidates.find(service);
+    if (groups == m_candidates.end())
+        return none;
+    const auto found = groups->second.find(group);
+    return found == groups->second.end() ? none : found->second;
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/settings/node_settings_test.cpp
@@ -0,0 +1,75 @@
+#include "gooseberrymoor/settings/node_settings.h"
+
+#include <doctest/doctest.h>
+
+using namespace gooseberrymoor;
+
+namespace {
+
+const std::string valid = "[node]\n"
+                          "name = n1\n"
+                          "availability_zone = kl-a\n"
+                          "peer_address = 127.0.0.1:7001\n"
+                          "entry_address = 127.0.0.1:8001\n"
+                          "[store]\n"
+                          "addresses = 127.0.0.1:2379, 127.0.0.1:2380\n";
+
+settings_error errorOf(const std::string &text)
+{
+    const auto result = parseNodeSettings("n.ini", text);
+    REQUIRE(!result);
+    return result.error();
+}
+
+} // namespace
+
+TEST_CASE("An operator writes a settings file")
+{
+    SUBCASE("with all that is required")
+    {
+        const auto settings = parseNodeSettings("n.ini", valid);
+        REQUIRE(settings);
+        CHECK(settings->name == "n1");
+        CHECK(settings->storeAddresses.size() == 2);
+        SUBCASE("and the rest takes its default")
+        {
+            CHECK(settings->lease == duration(3000));
+        }
+    }
+    SUBCASE("with a key that does not exist, and is told the line")
+    {
+        const auto error = errorOf(valid + "colour = red\n");
+        CHECK(error.line == 8);
+        CHECK(error.key == "store.colour");
+        CHECK(error.reason == "unknown key");
+    }
+    SUBCASE("with a host name in place of an IP number")
+    {
+        const auto error = errorOf("[node]\nname = n1\navailability_zone = a\n"
+                                   "peer_address = example:7001\n");
+        CHECK(error.line == 4);
+        CHECK(error.key == "node.peer_address");
+    }
+    SUBCASE("with a bad number")
+    {
+        for (const char *number : { "12x", "", "-1", "99999999" }) {
+            const auto error = errorOf(valid + "poll_ms = " + number + "\n");
+            CHECK(error.line == 8);
+            CHECK(error.key == "store.poll_ms");
+        }
+    }
+    SUBCASE("without a required value")
+    {
+        const auto error = errorOf("[node]\nname = n1\n");
+        CHECK(error.reason == "missing value");
+    }
+    SUBCASE("with a key twice")
+    {
+        const auto error = errorOf(valid + "poll_ms = 100\npoll_ms = 200\n");
+        CHECK(error.line == 9);
+    }
+    SUBCASE("that cannot be read")
+    {
+        CHECK(!readNodeSettings("/nonexistent.ini"));
+    }
+}
--- /dev/null
+++ b/gooseberrymoor/settings/setting_key.cpp
@@ -0,0 +1,55 @@
+#include "gooseberrymoor/settings/setting_key.h"
+
+#include <array>
+
+namespace gooseberrymoor {
+
+namespace {
+
+constexpr auto name = setting_kind::name;
+constexpr auto address = setting_kind::endpoint;
+constexpr auto addresses = setting_kind::endpoint_list;
+constexpr auto number = setting_kind::number;
+
+constexpr std::array settingTable {
+    setting_key { "node", "name", name, "", 0, 0, "", "Name of this node, unique in its cell." },
+    setting_key { "node", "cell", name, "main", 0, 0, "", "Cell that the node belongs to." },
+    setting_key { "node", "availability_zone", name, "", 0, 0, "",
+                  "Availability zone that the VM stands in." },
+    setting_key { "node", "peer_address", address, "", 0, 0, "", "Address for other nodes." },
+    setting_key { "node", "entry_address", address, "", 0, 0, "",
+                  "Address for callers and operators." },
+    setting_key { "store", "addresses", addresses, "", 0, 0, "",
+                  "Addresses of the platform's key-value service." },
+    setting_key { "store", "poll_ms", number, "1000", 50, 60'000, "ms",
+                  "Time between two reads of the configuration." },
+    setting_key { "store", "timeout_ms", number, "2000", 50, 60'000, "ms",
+                  "Longest wait for one answer of the store." },
+    setting_key { "membership", "heartbeat_ms", number, "500", 20, 10'000, "ms",
+                  "Time between two heartbeats to a peer." },
+    setting_key { "membership", "lease_ms", number, "3000", 100, 60'000, "ms",
+                  "How long an owner's lease lasts without renewal." },
+    setting_key { "entry", "directory_ttl_ms", number, "2000", 100, 60'000, "ms",
+                  "How long callers may keep the directory's answer." },
+    setting_key { "entry", "max_body_bytes", number, "65536", 1024, 16'777'216, "bytes",
+                  "Largest request body of a caller." },
+    setting_key { "entry", "max_queries", number, "256", 1, 100'000, "",
+                  "Queries that run at one time; more are refused as overloaded." },
+    setting_key { "query", "default_timeout_ms", number, "1000", 10, 60'000, "ms",
+                  "Deadline of a request that states none." },
+    setting_key { "query", "max_timeout_ms", number, "2000", 10, 60'000, "ms",
+                  "Longest deadline a caller may state." },
+    setting_key { "query", "hedge_percent", number, "5", 0, 100, "%",
+                  "Most extra leaf requests, as a share of first ones." },
+    setting_key { "shutdown", "linger_ms", number, "2500", 0, 120'000, "ms",
+                  "How long a leaving node serves callers that keep its address." },
+};
+
+} // namespace
+
+std::span<const setting_key> settingKeys()
+{
+    return settingTable;
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/store/etcd_codec.cpp
@@ -0,0 +1,133 @@
+#include "gooseberrymoor/store/etcd_codec.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/json.hpp>
+
+#include <charconv>
+#include <stdexcept>
+
+namespace gooseberrymoor {
+
+namespace {
+
+namespace json = boost::json;
+namespace base64 = boost::beast::detail::base64;
+
+// The first key after all that begin with `prefix`.
+std::string endOfPrefix(std::string prefix)
+{
+    while (!prefix.empty()) {
+        const auto last = static_cast<unsigned char>(prefix.back());
+        if (last < 0xff) {
+            prefix.back() = static_cast<char>(last + 1);
+            return prefix;
+        }
+        prefix.pop_back();
+    }
+    return std::string(1, '\0');
+}
+
+std::int64_t numberOf(const json::object &from, const char *key)
+{
+    const json::value *value = from.if_contains(key);
+    if (!value)
+        return 0; // proto3 JSON leaves out zeros
+    if (value->is_int64())
+        return value->as_int64();
+    const auto &text = value->as_string();
+    std::int64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size())
+        throw std::invalid_argument(std::string(key) + ": no number");
+    return number;
+}
+
+std::string bytesOf(const json::object &from, const char *key)
+{
+    const json::value *value = from.if_contains(key);
+    return value ? fromBase64(std::string(value->as_string())) : std::string();
+}
+
+std::int64_t revisionOf(const json::object &answer)
+{
+    return numberOf(answer.at("header").as_object(), "revision");
+}
+
+} // namespace
+
+std::string toBase64(const std::string &bytes)
+{
+    std::string text(base64::encoded_size(bytes.size()), '\0');
+    text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+    return text;
+}
+
+std::string fromBase64(const std::string &text)
+{
+    std::string bytes(base64::decoded_size(text.size()), '\0');
+    bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
+    return bytes;
+}
+
+std::string encodeRangeRequest(const std::string &prefix)
+{
+    return json::serialize(json::object { { "key", toBase64(prefix) },
+                                          { "range_end", toBase64(endOfPrefix(prefix)) } });
+}
+
+tl::expected<store_read, std::string> decodeRangeResponse(const std::string &body)
+{
+    try {
+        const json::object answer = json::parse(body).as_object();
+        store_read read;
+        read.revision = revisionOf(answer);
+        const json::value *entries = answer.if_contains("kvs");
+        if (!entries)
+            return read;
+        for (const json::value &row : entries->as_array()) {
+            const json::object &entry = row.as_object();
+            read.entries.push_back({ bytesOf(entry, "key"), bytesOf(entry, "value"),
+                                     numberOf(entry, "mod_revision") });
+        }
+        return read;
+    } catch (const std::exception &error) {
+        return tl::unexpected(std::string(error.what()));
+    }
+}
+
+std::string encodeTransaction(const store_transaction &transaction)
+{
+    json::array compares;
+    for (const store_compare &compare : transaction.compares) {
+        compares.push_back(
+            json::object { { "key", toBase64(compare.key) },
+                           { "target", "MOD" },
+                           { "result", "EQUAL" },
+                           { "mod_revision", std::to_string(compare.modRevision) } });
+    }
+    json::array changes;
+    for (const store_put &put : transaction.puts) {
+        json::object request { { "key", toBase64(put.key) }, { "value", toBase64(put.value) } };
+        if (put.lease != 0)
+            request["lease"] = std::to_string(put.lease);
+        changes.push_back(json::object { { "request_put", request } });
+    }
+    for (const std::string &key : transaction.deletes) {
+        changes.push_back(
+            json::object { { "request_delete_range", { { "key", toBase64(key) } } } });
+    }
+    return json::serialize(json::object { { "compare", compares }, { "success", changes } });
+}
+
+tl::expected<transaction_result, std::string> decodeTransactionResponse(const std::string &body)
+{
+    try {
+        const json::object answer = json::parse(body).as_object();
+        const json::value *succeeded = answer.if_contains("succeeded");
+        return transaction_result { succeeded && succeeded->as_bool(), revisionOf(answer) };
+    } catch (const std::exception &error) {
+        return tl::unexpected(std::string(error.what()));
+    }
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/store/store_error.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "gooseberrymoor/base/name_table.h"
+#include "gooseberrymoor/base/verdict.h"
+
+#include <string>
+
+namespace gooseberrymoor {
+
+// How a call to the store failed.
+enum class store_failure {
+    unavailable,
+    timed_out,
+    malformed,
+};
+
+constexpr name_table<store_failure, 3> names(store_failure)
+{
+    return { { { store_failure::unavailable, "unavailable" },
+               { store_failure::timed_out, "timed_out" },
+               { store_failure::malformed, "malformed" } } };
+}
+
+// A failed call; `outcome` says whether its effect may have taken place.
+struct store_error
+{
+    store_failure failure = store_failure::unavailable;
+    verdict outcome = verdict::not_run;
+    std::string detail;
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/target/target_codec.cpp
@@ -0,0 +1,120 @@
+#include "gooseberrymoor/target/target_codec.h"
+
+#include "gooseberrymoor/admission/leaf_message.h"
+
+#include <boost/json.hpp>
+
+namespace gooseberrymoor {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr unsigned http_ok = 200;
+constexpr unsigned http_conflict = 409;
+constexpr unsigned http_cancelled = 499;
+constexpr unsigned http_unavailable = 503;
+constexpr unsigned http_gateway_timeout = 504;
+
+std::string textOf(const json::object &from, const char *key)
+{
+    const json::value *value = from.if_contains(key);
+    return value && value->is_string() ? std::string(value->as_string()) : std::string();
+}
+
+bool flagOf(const json::object &from, const char *key)
+{
+    const json::value *value = from.if_contains(key);
+    return value && value->is_bool() && value->as_bool();
+}
+
+void readStatus(unsigned status, target_reply &reply)
+{
+    switch (status) {
+    case http_ok:
+        return;
+    case http_conflict:
+        reply.error = error_kind::snapshot_unavailable;
+        reply.outcome = verdict::not_run;
+        return;
+    case http_unavailable: // a target sheds before it runs anything
+        reply.result = leaf_result::shed;
+        reply.error = error_kind::target_shed;
+        reply.outcome = verdict::not_run;
+        return;
+    case http_cancelled:
+        reply.error = error_kind::cancelled;
+        reply.outcome = verdict::may_have_run;
+        return;
+    case http_gateway_timeout:
+        reply.error = error_kind::timed_out;
+        reply.outcome = verdict::may_have_run;
+        return;
+    default:
+        reply.result = leaf_result::failed;
+        reply.error = error_kind::target_failed;
+        reply.outcome = verdict::may_have_run;
+    }
+}
+
+target_reply malformedReply()
+{
+    target_reply reply;
+    reply.result = leaf_result::failed;
+    reply.error = error_kind::malformed_answer;
+    reply.outcome = verdict::may_have_run;
+    return reply;
+}
+
+} // namespace
+
+http_request encodeTargetRequest(const leaf_request &request, const std::string &id,
+                                 duration timeout)
+{
+    const json::object body { { "request", id },
+                              { "shard", request.shard },
+                              { "snapshot", request.snapshot },
+                              { "idempotent", request.idempotent },
+                              { "timeout_ms", timeout.count() },
+                              { "body", request.body } };
+    return { "POST", "/leaf", json::serialize(body) };
+}
+
+http_request encodeTargetCancel(const std::string &id)
+{
+    return { "POST", "/cancel", json::serialize(json::object { { "request", id } }) };
+}
+
+target_reply decodeTargetReply(const leaf_request &request, const http_reply &reply)
+{
+    boost::system::error_code error;
+    const json::value document = json::parse(reply.body, error);
+    if (error || !document.is_object())
+        return malformedReply();
+    const json::object &from = document.as_object();
+    target_reply result;
+    result.instance = textOf(from, "instance");
+    result.snapshot = textOf(from, "snapshot");
+    result.body = textOf(from, "body");
+    result.draining = flagOf(from, "draining");
+    readStatus(reply.status, result);
+    const bool answered = result.error == error_kind::none;
+    if (answered && textOf(from, "request_shard") != request.shard)
+        return malformedReply();
+    if (answered && result.snapshot != request.snapshot) {
+        result.error = error_kind::snapshot_unavailable;
+        result.body.clear();
+    }
+    return result;
+}
+
+target_reply toTargetReply(const http_failure &failure)
+{
+    target_reply reply;
+    reply.result = failure.timedOut ? leaf_result::timed_out : leaf_result::lost;
+    reply.error = failure.timedOut ? error_kind::timed_out : error_kind::target_lost;
+    reply.outcome = failure.outcome;
+    return reply;
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/target/target_codec.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "gooseberrymoor/http/http_failure.h"
+#include "gooseberrymoor/http/http_message.h"
+#include "gooseberrymoor/target/target_reply.h"
+
+namespace gooseberrymoor {
+
+struct leaf_request;
+
+// The HTTP request that carries `request` to a target; `timeout` is the time it may still take.
+http_request encodeTargetRequest(const leaf_request &request, const std::string &id,
+                                 duration timeout);
+
+// The HTTP request that asks a target to stop working on request `id`.
+http_request encodeTargetCancel(const std::string &id);
+
+// Reads a target's answer to `request`.
+target_reply decodeTargetReply(const leaf_request &request, const http_reply &reply);
+
+// What a failed exchange says.
+target_reply toTargetReply(const http_failure &failure);
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/target/target_owner.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "gooseberrymoor/admission/leaf_service.h"
+#include "gooseberrymoor/admission/owner_permission.h"
+#include "gooseberrymoor/base/net.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gooseberrymoor {
+
+class counters;
+class target_pool;
+struct configuration;
+
+// The targets that this node owns, each with its pool. Not thread-safe.
+class target_owner : public leaf_service, public owner_permission
+{
+public:
+    // Says whether this node owns the target "service/name" now.
+    using ownership_test = std::function<bool(std::string_view target)>;
+
+    // References must outlive the owner's last task.
+    target_owner(asio::any_io_executor executor, ownership_test isOwner, counters &events);
+    ~target_owner() override;
+
+    // Makes pools for the targets owned now under `current` and retires all others.
+    void update(const configuration &current);
+
+    void submit(const std::string &origin, leaf_request request,
+                std::shared_ptr<leaf_reply_sink> sink) override;
+    void cancel(const std::string &origin, std::uint64_t id) override;
+    bool mayStart(std::string_view target, time_point now) const override;
+
+    // The pools by target "service/name".
+    const std::map<std::string, std::shared_ptr<target_pool>> &pools() const { return m_pools; }
+
+    // Whether nothing waits and nothing runs at any target, retired ones included.
+    bool isIdle();
+
+private:
+    asio::any_io_executor m_executor;
+    ownership_test m_isOwner;
+    counters &m_events;
+    std::map<std::string, std::shared_ptr<target_pool>> m_pools;
+    std::vector<std::shared_ptr<target_pool>> m_retired; // until they are idle
+};
+
+} // namespace gooseberrymoor
