Name the seams between membership, targets and moves

Cause: owners must know when nothing of theirs runs at a target, and moves need to know how leaf requests end, before either is built. Ruled out: callbacks by std::function (the code base uses interfaces for behaviour that varies). Conclusion: the slices can now be refined apart from one another.

--- a/gooseberrymoor/target/target_owner.cpp
+++ b/gooseberrymoor/target/target_owner.cpp
@@ -71,6 +71,15 @@
     return m_isOwner(target);
 }
 
+bool target_owner::mayStillRun(std::string_view target) const
+{
+    const auto found = m_pools.find(std::string(target));
+    if (found != m_pools.end() && !found->second->isIdle())
+        return true;
+    return std::ranges::any_of(
+        m_retired, [target](const auto &pool) { return pool->key() == target && !pool->isIdle(); });
+}
+
 bool target_owner::isIdle()
 {
     std::erase_if(m_retired, [](const auto &pool) { return pool->isIdle(); });
--- a/gooseberrymoor/target/target_owner.h
+++ b/gooseberrymoor/target/target_owner.h
@@ -3,6 +3,7 @@
 #include "gooseberrymoor/admission/leaf_service.h"
 #include "gooseberrymoor/admission/owner_permission.h"
 #include "gooseberrymoor/base/net.h"
+#include "gooseberrymoor/membership/owned_work.h"
 
 #include <functional>
 #include <map>
@@ -18,7 +19,7 @@
 struct configuration;
 
 // The targets that this node owns, each with its pool. Not thread-safe.
-class target_owner : public leaf_service, public owner_permission
+class target_owner : public leaf_service, public owner_permission, public owned_work
 {
 public:
     // Says whether this node owns the target "service/name" now.
@@ -36,6 +37,8 @@
     void cancel(const std::string &origin, std::uint64_t id) override;
     bool mayStart(std::string_view target, time_point now) const override;
 
+    bool mayStillRun(std::string_view target) const override;
+
     // The pools by target "service/name".
     const std::map<std::string, std::shared_ptr<target_pool>> &pools() const { return m_pools; }
 
--- a/gooseberrymoor/target/target_pool.h
+++ b/gooseberrymoor/target/target_pool.h
@@ -42,6 +42,8 @@
     // Whether nothing waits and nothing runs.
     bool isIdle() const { return m_works.empty(); }
 
+    // "service/target".
+    const std::string &key() const { return m_key; }
     const target_admission &admission() const { return m_admission; }
     const target_config &target() const { return m_target; }
     int connections() const { return m_connections; }
