Prove the path under failure with real processes

Cause: the promises are about what callers and targets see when processes die, freeze or fall silent, which tests within one process cannot show. Ruled out: a cluster simulator; shell scripts (they cannot check each answer of concurrent callers).

--- /dev/null
+++ b/testing/process/caller_history.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "caller_record.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+class site;
+
+// Everything that callers saw in one run, and the checks that read it.
+class caller_history
+{
+public:
+    explicit caller_history(std::vector<caller_record> records);
+
+    const std::vector<caller_record> &records() const { return m_records; }
+
+    // Requests with an answer.
+    int answered() const;
+    // Requests that were refused or had no answer.
+    int failed() const;
+    // Queries whose answer did not cover all shards.
+    int partial() const;
+
+    // Each check returns what is wrong, a line each.
+
+    // An answer is whole: every part belongs to its own request and to one snapshot, and the
+    // coverage counts the parts that are there and those that are named as missing.
+    std::vector<std::string> checkAnswers() const;
+
+    // No request that is not idempotent ran twice; one that was said to have not run did not, and
+    // one that was said to be completed did. `runs` are the targets' counts by body.
+    std::vector<std::string> checkRuns(const std::map<std::string, int> &runs) const;
+
+private:
+    std::vector<caller_record> m_records;
+};
+
+// How often each request that is not idempotent ran, summed over the targets of `where`.
+std::map<std::string, int> runsByBody(const site &where);
+
+// Which targets of `where` ran more requests at one time than `slots`.
+std::vector<std::string> checkSlots(const site &where, int slots);
--- /dev/null
+++ b/testing/process/callers.cpp
@@ -0,0 +1,159 @@
+#include "callers.h"
+
+#include "gooseberrymoor/base/timer.h"
+#include "gooseberrymoor/http/http_connection.h"
+
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+
+using namespace gooseberrymoor;
+namespace json = boost::json;
+
+namespace {
+
+constexpr duration request_timeout { 1000 };
+constexpr duration answer_patience { 6000 };
+constexpr duration pause_after_failure { 50 };
+constexpr unsigned http_ok = 200;
+
+verdict verdictOf(const http_reply &reply)
+{
+    if (reply.status == http_ok)
+        return verdict::completed;
+    boost::system::error_code error;
+    const json::value document = json::parse(reply.body, error);
+    if (error)
+        return verdict::may_have_run;
+    const std::string name(document.at("error").at("verdict").as_string());
+    return fromName<verdict>(name).value_or(verdict::may_have_run);
+}
+
+} // namespace
+
+class callers::caller
+{
+public:
+    caller(callers &owner, int number, std::vector<endpoint> entries, int every)
+        : m_owner(owner), m_number(number), m_entries(std::move(entries)), m_every(every),
+          m_connection(owner.m_context.get_executor())
+    {
+    }
+
+    asio::awaitable<void> run()
+    {
+        while (!m_owner.m_stopping) {
+            co_await refreshDirectory();
+            const bool connected = co_await useConnection();
+            if (connected)
+                co_await sendOne();
+            else
+                co_await rest();
+        }
+    }
+
+private:
+    asio::awaitable<void> refreshDirectory()
+    {
+        if (millis_clock::now() < m_keepUntil)
+            co_return;
+        const endpoint asked = m_entries[next() % m_entries.size()];
+        const auto reply = co_await exchangeOnce(asked, http_request("GET", "/v1/entries"),
+                                                 millis_clock::now() + request_timeout);
+        if (!reply || reply->status != http_ok)
+            co_return;
+        const json::value answer = json::parse(reply->body);
+        std::vector<endpoint> entries;
+        for (const json::value &entry : answer.at("entries").as_array())
+            entries.push_back(*parseEndpoint(std::string(entry.as_string())));
+        m_keepUntil = millis_clock::now() + duration(answer.at("ttl_ms").as_int64());
+        if (entries.empty())
+            co_return;
+        m_entries = entries;
+        if (std::ranges::find(m_entries, m_entry) == m_entries.end())
+            m_connection.close(); // the directory no longer names it
+    }
+
+    asio::awaitable<bool> useConnection()
+    {
+        if (m_connection.isOpen())
+            co_return true;
+        m_entry = m_entries[next() % m_entries.size()];
+        const auto connected
+            = co_await m_connection.connect(m_entry, millis_clock::now() + request_timeout);
+        co_return connected.has_value();
+    }
+
+    asio::awaitable<void> sendOne()
+    {
+        caller_record record;
+        record.entry = toString(m_entry);
+        record.body = "c" + std::to_string(m_number) + "-" + std::to_string(++m_sent);
+        record.idempotent = m_every == 0 || m_sent % m_every != 0;
+        record.sent = millis_clock::now();
+        auto reply
+            = co_await m_connection.exchange(requestOf(record), record.sent + answer_patience);
+        record.ended = millis_clock::now();
+        record.outcome = reply ? verdictOf(*reply) : reply.error().outcome;
+        if (reply) {
+            record.status = reply->status;
+            record.reply = std::move(reply->body);
+        }
+        const bool failed = record.status != http_ok;
+        m_owner.m_records.push_back(std::move(record));
+        ++m_owner.m_ended;
+        if (failed) {
+            m_connection.close();
+            m_keepUntil = {};
+            co_await rest();
+        }
+    }
+
+    static http_request requestOf(const caller_record &record)
+    {
+        json::object body { { "body", record.body }, { "timeout_ms", request_timeout.count() } };
+        if (record.idempotent)
+            return { "POST", "/v1/services/standings/query", json::serialize(body) };
+        body["shard"] = "heat-1";
+        return { "POST", "/v1/services/standings/request", json::serialize(body) };
+    }
+
+    asio::awaitable<void> rest()
+    {
+        timer pause(co_await asio::this_coro::executor, millis_clock::now() + pause_after_failure);
+        co_await pause.async_wait(as_result);
+    }
+
+    std::size_t next() { return static_cast<std::size_t>(m_number) + m_choices++; }
+
+    callers &m_owner;
+    int m_number;
+    std::vector<endpoint> m_entries;
+    int m_every;
+    http_connection m_connection;
+    endpoint m_entry;
+    time_point m_keepUntil {};
+    std::size_t m_choices = 0;
+    int m_sent = 0;
+};
+
+callers::callers(std::vector<endpoint> entries, int count, int every)
+{
+    for (int number = 1; number <= count; ++number) {
+        m_callers.push_back(std::make_unique<caller>(*this, number, entries, every));
+        asio::co_spawn(m_context, m_callers.back()->run(), asio::detached);
+    }
+    m_thread = std::thread([this] { m_context.run(); });
+}
+
+callers::~callers()
+{
+    if (m_thread.joinable())
+        stop();
+}
+
+caller_history callers::stop()
+{
+    m_stopping = true;
+    m_thread.join();
+    return caller_history(m_records);
+}
