Close callers' connections gently when a node leaves

Cause: a leaving node kept idle connections until its last deadline, and its default linger (2.5 s) was shorter than the time for which callers may hold a directory answer of a peer that had not yet seen the departure (2 s to live and 1 s to the next read of the view). Ruled out: closing every connection at once (a request may be on its way on it). Change: while it leaves, a node says with each reply that the connection closes; once closed to new requests it closes the connections on which none has begun. The default linger is 4 s, and settings that do not fit together are refused with their line.

--- a/gooseberrymoor/http/http_server.cpp
+++ b/gooseberrymoor/http/http_server.cpp
@@ -37,6 +37,16 @@
 
 } // namespace
 
+struct http_server::idle_connection
+{
+    tcp::socket &socket;
+    const beast::flat_buffer &buffer;
+    const http::request_parser<http::string_body> &parser;
+
+    // Whether bytes of a request have come in.
+    bool hasRequest() const { return buffer.size() > 0 || parser.got_some(); }
+};
+
 http_server::http_server(asio::any_io_executor executor, http_handler &handler, counters &events,
                          std::size_t maxBodyBytes)
     : m_executor(std::move(executor)), m_handler(handler), m_events(events),
@@ -63,11 +73,21 @@
     return {};
 }
 
+void http_server::startDraining()
+{
+    m_draining = true;
+}
+
 void http_server::stopAccepting()
 {
+    m_draining = true;
     m_stopping = true;
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
+    for (const idle_connection *idle : m_idle) {
+        if (!idle->hasRequest())
+            idle->socket.close(ignored);
+    }
 }
 
 asio::awaitable<void> http_server::acceptLoop()
@@ -112,7 +132,10 @@
     while (keepAlive) {
         http::request_parser<http::string_body> parser;
         parser.body_limit(m_maxBodyBytes);
+        const idle_connection idle { socket, buffer, parser };
+        m_idle.insert(&idle);
         const auto [readError, read] = co_await http::async_read(socket, buffer, parser, as_result);
+        m_idle.erase(&idle);
         if (isEndOfConnection(readError))
             co_return;
         http_reply reply;
@@ -130,7 +153,7 @@
                                                 std::string(message.target()),
                                                 std::move(message.body()) });
         }
-        keepAlive = keepAlive && !m_stopping && !reply.closeAfter;
+        keepAlive = keepAlive && !m_draining && !reply.closeAfter;
         const auto message = toMessage(std::move(reply), version, keepAlive);
         const auto [writeError, written] = co_await http::async_write(socket, message, as_result);
         if (writeError)
--- a/gooseberrymoor/http/http_server.h
+++ b/gooseberrymoor/http/http_server.h
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace gooseberrymoor {
@@ -27,13 +28,18 @@
     // Binds `address` and starts to accept; the error is for people.
     tl::expected<void, std::string> start(endpoint address);
 
-    // Accepts no more connections; those open close after their next reply.
+    // From now on each connection closes after its next reply, and says so in it.
+    void startDraining();
+
+    // Accepts no more connections, and closes those on which no request has begun.
     void stopAccepting();
 
     // Connections open now.
     std::size_t openConnections() const { return m_open; }
 
 private:
+    struct idle_connection; // waits for its next request
+
     asio::awaitable<void> acceptLoop();
     asio::awaitable<void> serve(asio::ip::tcp::socket socket);
     asio::awaitable<void> serveRequests(asio::ip::tcp::socket &socket);
@@ -44,6 +50,8 @@
     std::size_t m_maxBodyBytes;
     asio::ip::tcp::acceptor m_acceptor;
     std::size_t m_open = 0;
+    std::set<const idle_connection *> m_idle;
+    bool m_draining = false;
     bool m_stopping = false;
 };
 
--- a/gooseberrymoor/http/http_test.cpp
+++ b/gooseberrymoor/http/http_test.cpp
@@ -67,6 +67,28 @@
             }
         }(deadline));
     }
+    SUBCASE("and says with its last reply that it closes, once it drains")
+    {
+        server.run([](time_point until, http_server &draining) -> asio::awaitable<void> {
+            http_connection connection(co_await asio::this_coro::executor);
+            CHECK(co_await connection.connect(server_address, until));
+            draining.startDraining();
+            const auto reply = co_await connection.exchange({ "POST", "/", "last" }, until);
+            CHECK(reply);
+            CHECK(reply->body == "last");
+            CHECK(!connection.isOpen());
+        }(deadline, server.server));
+    }
+    SUBCASE("and closes a connection on which no request has begun, once it stops")
+    {
+        server.run([](time_point until, http_server &stopping) -> asio::awaitable<void> {
+            http_connection connection(co_await asio::this_coro::executor);
+            CHECK(co_await connection.connect(server_address, until));
+            CHECK(co_await connection.exchange({ "POST", "/", "one" }, until));
+            stopping.stopAccepting();
+        }(deadline, server.server));
+        CHECK(server.server.openConnections() == 0);
+    }
     SUBCASE("a body that is too large is refused as not run")
     {
         server.run([](time_point until) -> asio::awaitable<void> {
--- a/gooseberrymoor/node/node.cpp
+++ b/gooseberrymoor/node/node.cpp
@@ -77,6 +77,7 @@
 {
     m_log.write("node_leaving", {});
     m_admission.setPhase(entry_phase::leaving);
+    m_server.startDraining();
     const time_point began = millis_clock::now();
     const bool told = co_await m_membership.markLeaving(began + store_patience);
     if (!told)
--- a/gooseberrymoor/settings/node_settings.cpp
+++ b/gooseberrymoor/settings/node_settings.cpp
@@ -18,6 +18,8 @@
 
 using checked = tl::expected<void, std::string>;
 
+constexpr int fewest_heartbeats_per_lease = 3;
+
 std::optional<std::int64_t> parseNumber(const std::string &text)
 {
     std::int64_t value = 0;
@@ -141,6 +143,37 @@
     return settings;
 }
 
+// The line of a setting, 0 if it has its default.
+int lineOf(const ini_document &document, const std::string &section, const std::string &key)
+{
+    const ini_value *value = document.find(section, key);
+    return value ? value->line : 0;
+}
+
+// What no single value shows to be wrong.
+std::optional<settings_error> checkTogether(const std::string &file, const ini_document &document,
+                                            const node_settings &settings)
+{
+    // Callers use a leaving node until the last answer of the directory that names it has lapsed.
+    const duration shortest = settings.directoryTtl + settings.storePoll;
+    if (settings.linger < shortest) {
+        return settings_error { file, lineOf(document, "shutdown", "linger_ms"),
+                                "shutdown.linger_ms",
+                                "is less than entry.directory_ttl_ms + store.poll_ms, "
+                                    + std::to_string(shortest.count()) };
+    }
+    if (settings.defaultTimeout > settings.maxTimeout) {
+        return settings_error { file, lineOf(document, "query", "default_timeout_ms"),
+                                "query.default_timeout_ms", "is more than query.max_timeout_ms" };
+    }
+    if (settings.lease < settings.heartbeat * fewest_heartbeats_per_lease) {
+        return settings_error { file, lineOf(document, "membership", "lease_ms"),
+                                "membership.lease_ms",
+                                "is less than three times membership.heartbeat_ms" };
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 tl::expected<node_settings, settings_error> parseNodeSettings(const std::string &file,
@@ -166,7 +199,10 @@
                 settings_error { file, value->line, fullName(key), result.error() });
         }
     }
-    return toSettings(*document);
+    const node_settings settings = toSettings(*document);
+    if (const auto error = checkTogether(file, *document, settings))
+        return tl::unexpected(*error);
+    return settings;
 }
 
 tl::expected<node_settings, settings_error> readNodeSettings(const std::string &file)
--- a/gooseberrymoor/settings/node_settings_test.cpp
+++ b/gooseberrymoor/settings/node_settings_test.cpp
@@ -68,6 +68,13 @@
         const auto error = errorOf(valid + "poll_ms = 100\npoll_ms = 200\n");
         CHECK(error.line == 9);
     }
+    SUBCASE("with values that do not fit together")
+    {
+        CHECK(errorOf(valid + "[shutdown]\nlinger_ms = 100\n").key == "shutdown.linger_ms");
+        CHECK(errorOf(valid + "[query]\ndefault_timeout_ms = 9000\n").key
+              == "query.default_timeout_ms");
+        CHECK(errorOf(valid + "[membership]\nlease_ms = 1000\n").key == "membership.lease_ms");
+    }
     SUBCASE("that cannot be read")
     {
         CHECK(!readNodeSettings("/nonexistent.ini"));
--- a/gooseberrymoor/settings/setting_key.cpp
+++ b/gooseberrymoor/settings/setting_key.cpp
@@ -41,7 +41,7 @@
                   "Longest deadline a caller may state." },
     setting_key { "query", "hedge_percent", number, "5", 0, 100, "%",
                   "Most extra leaf requests, as a share of first ones." },
-    setting_key { "shutdown", "linger_ms", number, "2500", 0, 120'000, "ms",
+    setting_key { "shutdown", "linger_ms", number, "4000", 0, 120'000, "ms",
                   "How long a leaving node serves callers that keep its address." },
 };
 
