Give owners a lease that a majority renews, and hand targets over

Cause: an owner was whoever had the highest rank in the newest view that it knew, so a frozen or cut-off owner went on sending beside its successor. Ruled out: a lease in the store for each node (an outage ends them all). Change: pure decisions for the lease, the hand-over of targets and the watch over members, driven over the peer links and by compare-and-swap; target_owner asks target_ownership before each send.

--- a/gooseberrymoor/membership/cell_view.cpp
+++ b/gooseberrymoor/membership/cell_view.cpp
@@ -22,6 +22,12 @@
     return found == members.end() ? nullptr : &*found;
 }
 
+bool cell_view::lists(const member_id &id) const
+{
+    const member *found = find(id.name);
+    return found && found->incarnation == id.incarnation;
+}
+
 void cell_view::put(member value)
 {
     remove(value.name);
--- a/gooseberrymoor/membership/cell_view.h
+++ b/gooseberrymoor/membership/cell_view.h
@@ -14,8 +14,12 @@
 struct cell_view
 {
     std::int64_t epoch = 0; // the key's revision in the store
+    std::int64_t removals = 0; // members that others removed, or that were replaced, so far
     std::vector<member> members; // sorted by name
 
+    // Whether the view lists this start of that node.
+    bool lists(const member_id &id) const;
+
     // The member called `name`, or null.
     const member *find(std::string_view name) const;
 
--- a/gooseberrymoor/membership/cell_view_codec.cpp
+++ b/gooseberrymoor/membership/cell_view_codec.cpp
@@ -45,7 +45,7 @@
                                          { "entry_address", toString(each.entryAddress) },
                                          { "leaving", each.leaving } });
     }
-    return json::serialize(json::object { { "members", members } });
+    return json::serialize(json::object { { "removals", view.removals }, { "members", members } });
 }
 
 tl::expected<cell_view, std::string> decodeView(const std::string &text)
@@ -55,6 +55,7 @@
         const json::value document = json::parse(text);
         for (const json::value &each : document.at("members").as_array())
             view.put(memberFrom(each.as_object()));
+        view.removals = document.at("removals").as_int64();
         return view;
     } catch (const std::exception &error) {
         return tl::unexpected(std::string(error.what()));
--- a/gooseberrymoor/membership/member.h
+++ b/gooseberrymoor/membership/member.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gooseberrymoor/base/endpoint.h"
+#include "gooseberrymoor/membership/member_id.h"
 
 #include <cstdint>
 #include <string>
@@ -15,7 +16,12 @@
     std::string availabilityZone;
     endpoint peerAddress;
     endpoint entryAddress;
-    bool leaving = false; // owns nothing more, and takes no new callers
+    // Owns nothing and takes no new callers: it has just joined, it stops, or its availability
+    // zone is out.
+    bool leaving = false;
+
+    // This start of the node.
+    member_id id() const { return { name, incarnation }; }
 
     bool operator==(const member &) const = default;
 };
--- /dev/null
+++ b/gooseberrymoor/membership/member_watch.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "gooseberrymoor/base/millis_clock.h"
+#include "gooseberrymoor/membership/member_id.h"
+#include "gooseberrymoor/membership/ownership_timing.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+namespace gooseberrymoor {
+
+struct cell_view;
+
+// What a node knows of the other members of its view: when each last answered, which epoch it is
+// known to have known, and which members have ended. Plain state; not thread-safe.
+class member_watch
+{
+public:
+    explicit member_watch(ownership_timing timing);
+
+    // `next` is the view now; members that are new in it count as heard at `now`.
+    void adopt(const cell_view &next, time_point now);
+
+    // `sender` answered a request sent at `sentAt`; it knew `epoch`.
+    void onAnswer(const member_id &sender, std::int64_t epoch, time_point sentAt);
+
+    // `ended` runs no more: a later start of that node has its address.
+    void onEnded(const member_id &ended);
+
+    // This node did not run for a while: silence until `now` says nothing of the others.
+    void pardon(time_point now);
+
+    // Since when the member has been silent for too long; `time_point::max()` if it has not.
+    time_point suspectSince(const member_id &id, time_point now) const;
+
+    // Whether the member is silent for too long.
+    bool isSuspect(const member_id &id, time_point now) const;
+
+    // Whether the member will never again act on an epoch before `epoch`.
+    bool hasReached(const member_id &id, std::int64_t epoch) const;
+
+    // Whether the member is known to run no more.
+    bool hasEnded(const member_id &id) const { return m_ended.contains(id); }
+
+private:
+    struct entry
+    {
+        time_point heard {};
+        std::int64_t epoch = 0;
+    };
+
+    ownership_timing m_timing;
+    std::map<member_id, entry> m_entries;
+    std::set<member_id> m_ended;
+};
+
+} // namespace gooseberrymoor
--- a/gooseberrymoor/membership/membership_keeper.cpp
+++ b/gooseberrymoor/membership/membership_keeper.cpp
@@ -1,29 +1,39 @@
 #include "gooseberrymoor/membership/membership_keeper.h"
 
 #include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/base/task.h"
 #include "gooseberrymoor/membership/cell_view_codec.h"
 #include "gooseberrymoor/membership/view_listener.h"
 #include "gooseberrymoor/peer/peer_network.h"
 #include "gooseberrymoor/store/key_value_store.h"
 
+#include <random>
+
 namespace gooseberrymoor {
 
 namespace {
 
+constexpr duration release_check { 10 };
+constexpr duration shortest_read_interval { 20 };
+
 // Built outside the task: g++ 12 cannot compile initializer lists in a co_await expression.
-store_transaction replaceView(const std::string &key, const cell_view &present,
-                              const cell_view &wanted)
+store_transaction replaceView(const std::string &key, const cell_view &wanted)
 {
-    return { { { key, present.epoch } }, { { key, encodeView(wanted), 0 } }, {} };
+    return { { { key, wanted.epoch } }, { { key, encodeView(wanted), 0 } }, {} };
 }
 
 } // namespace
 
 membership_keeper::membership_keeper(asio::any_io_executor executor, key_value_store &store,
                                      std::string cell, member self, duration poll,
-                                     peer_network &network, counters &events)
-    : m_store(store), m_key("/gooseberrymoor/" + cell + "/view"), m_self(std::move(self)),
-      m_poll(poll), m_network(network), m_events(events), m_wake(std::move(executor))
+                                     ownership_timing timing, peer_network &network,
+                                     counters &events)
+    : m_executor(executor), m_store(store), m_key("/gooseberrymoor/" + cell + "/view"),
+      m_poll(poll), m_heartbeat(timing.heartbeat), m_network(network), m_events(events),
+      m_decision(std::move(self), timing, std::random_device {}()),
+      m_links(executor, network, m_decision, timing.heartbeat, timing.silence(), events,
+              [this](const ownership_actions &actions) { followUp(actions); }),
+      m_wake(executor), m_storeWake(executor)
 {
 }
 
@@ -32,96 +42,157 @@
     m_listeners.push_back(&listener);
 }
 
+void membership_keeper::configure(std::set<std::string> targets, std::set<std::string> zonesOut)
+{
+    m_decision.configure(std::move(targets), std::move(zonesOut));
+}
+
 bool membership_keeper::isMember() const
 {
-    const member *self = m_view.find(m_self.name);
-    return self && self->incarnation == m_self.incarnation && !self->leaving;
+    return m_decision.isListed() && !isLeaving();
+}
+
+bool membership_keeper::isLeaving() const
+{
+    const member *self = view().find(m_decision.self().name);
+    return m_decision.isListed() && self->leaving;
 }
 
 asio::awaitable<void> membership_keeper::run()
 {
+    startTask(m_executor, m_events, "membership_store", followStore());
     while (!m_stopped) {
-        const bool read = co_await readView();
-        if (read && !isMember() && !m_departing) {
-            co_await changeView([this](cell_view &view) { view.put(m_self); },
-                                millis_clock::now() + m_poll);
-        }
-        if (!m_stopped)
-            co_await m_wake.wait(millis_clock::now() + m_poll);
+        perform(m_decision.tick(millis_clock::now()));
+        const time_point next = millis_clock::now() + m_heartbeat;
+        while (!m_stopped && millis_clock::now() < next)
+            co_await m_wake.wait(next);
     }
 }
 
 asio::awaitable<bool> membership_keeper::markLeaving(time_point deadline)
 {
-    m_departing = true;
-    m_self.leaving = true;
-    co_return co_await changeView([this](cell_view &view) { view.put(m_self); }, deadline);
+    m_decision.beginStop();
+    perform(m_decision.tick(millis_clock::now()));
+    while (!m_stopped && !isLeaving() && millis_clock::now() < deadline)
+        co_await m_wake.wait(std::min(deadline, millis_clock::now() + m_heartbeat));
+    co_return isLeaving();
 }
 
 asio::awaitable<bool> membership_keeper::leave(time_point deadline)
 {
-    m_departing = true;
-    co_return co_await changeView([this](cell_view &view) { view.remove(m_self.name); }, deadline);
+    m_decision.beginLeave();
+    perform(m_decision.tick(millis_clock::now()));
+    while (!m_stopped && m_decision.isListed() && millis_clock::now() < deadline)
+        co_await m_wake.wait(std::min(deadline, millis_clock::now() + m_heartbeat));
+    co_return !m_decision.isListed();
 }
 
 void membership_keeper::stop()
 {
     m_stopped = true;
+    m_links.stop();
     m_wake.notify();
+    m_storeWake.notify();
 }
 
-asio::awaitable<bool> membership_keeper::readView()
+asio::awaitable<void> membership_keeper::followStore()
 {
-    const auto read = co_await m_store.readPrefix(m_key);
-    if (!read)
-        co_return false;
-    if (read->entries.empty())
-        co_return true;
-    auto view = decodeView(read->entries.front().value);
-    if (!view) {
-        m_events.add("view_malformed");
-        co_return false;
+    while (!m_stopped) {
+        m_readWanted = false;
+        co_await readView();
+        const time_point earliest = millis_clock::now() + shortest_read_interval;
+        const time_point next = millis_clock::now() + m_poll;
+        while (!m_stopped && millis_clock::now() < (m_readWanted ? earliest : next))
+            co_await m_storeWake.wait(m_readWanted ? earliest : next);
     }
-    view->epoch = read->entries.front().modRevision;
-    adopt(std::move(*view));
-    co_return true;
-}
-
-// Each change states the whole wish, so trying again after a lost answer is idempotent.
-asio::awaitable<bool> membership_keeper::changeView(change apply, time_point deadline)
-{
-    while (millis_clock::now() < deadline) {
-        cell_view wanted = m_view;
-        apply(wanted);
-        if (wanted == m_view)
-            co_return true;
-        const auto result = co_await m_store.transact(replaceView(m_key, m_view, wanted));
-        if (result && result->succeeded) {
-            wanted.epoch = result->revision;
-            adopt(std::move(wanted));
-            co_return true;
+}
+
+asio::awaitable<void> membership_keeper::readView()
+{
+    const time_point sentAt = millis_clock::now();
+    const auto read = co_await m_store.readPrefix(m_key);
+    if (!read || m_stopped)
+        co_return;
+    std::int64_t epoch = 0;
+    if (!read->entries.empty()) {
+        auto view = decodeView(read->entries.front().value);
+        if (!view) {
+            m_events.add("view_malformed");
+            co_return;
         }
+        epoch = read->entries.front().modRevision;
+        view->epoch = epoch;
+        perform(m_decision.onView(std::move(*view), millis_clock::now()));
+    }
+    perform(m_decision.onStoreRead(epoch, sentAt, millis_clock::now()));
+}
+
+// Tried once: after a lost answer the view is read, and what is still wanted proposed again.
+asio::awaitable<void> membership_keeper::swapView(cell_view wanted)
+{
+    m_events.add("view_proposals");
+    const auto result = co_await m_store.transact(replaceView(m_key, wanted));
+    const bool succeeded = result && result->succeeded;
+    if (!succeeded)
         m_events.add("view_conflicts");
-        if (!co_await readView())
-            co_await m_wake.wait(millis_clock::now() + m_poll / 4);
+    const std::int64_t epoch = succeeded ? result->revision : 0;
+    perform(m_decision.onProposalEnded(wanted, epoch, millis_clock::now()));
+}
+
+// Runs only while another member waits for what still runs here.
+asio::awaitable<void> membership_keeper::releaseTask()
+{
+    m_releasing = true;
+    while (!m_stopped && m_decision.owesReleases()) {
+        const time_point next = millis_clock::now() + release_check;
+        co_await m_wake.wait(next);
+        perform(m_decision.releaseEnded());
+    }
+    m_releasing = false;
+}
+
+void membership_keeper::perform(const ownership_actions &actions)
+{
+    m_links.send(actions);
+    followUp(actions);
+}
+
+void membership_keeper::followUp(const ownership_actions &actions)
+{
+    if (m_stopped)
+        return;
+    if (actions.proposal)
+        startTask(m_executor, m_events, "membership_swap", swapView(*actions.proposal));
+    if (actions.readView && !m_readWanted) {
+        m_readWanted = true;
+        m_storeWake.notify();
     }
-    co_return false;
+    if (m_decision.owesReleases() && !m_releasing) {
+        m_releasing = true;
+        startTask(m_executor, m_events, "membership_release", releaseTask());
+    }
+    publishView();
 }
 
-void membership_keeper::adopt(cell_view next)
+void membership_keeper::publishView()
 {
-    if (next.epoch <= m_view.epoch)
+    if (view().epoch == m_publishedEpoch)
         return;
-    m_view = std::move(next);
+    m_publishedEpoch = view().epoch;
     m_events.add("view_changes");
     std::map<std::string, endpoint> peers;
-    for (const member &each : m_view.members) {
-        if (each.name != m_self.name)
-            peers[each.name] = each.peerAddress;
+    std::set<std::string> peerNames;
+    for (const member &each : view().members) {
+        if (each.name == m_decision.self().name)
+            continue;
+        peers[each.name] = each.peerAddress;
+        peerNames.insert(each.name);
     }
     m_network.setPeers(std::move(peers));
+    m_links.setPeers(peerNames);
     for (view_listener *listener : m_listeners)
-        listener->onViewChanged(m_view);
+        listener->onViewChanged(view());
+    m_wake.notify();
 }
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/membership/membership_keeper.h
+++ b/gooseberrymoor/membership/membership_keeper.h
@@ -3,9 +3,11 @@
 #include "gooseberrymoor/base/millis_clock.h"
 #include "gooseberrymoor/base/net.h"
 #include "gooseberrymoor/base/signal.h"
-#include "gooseberrymoor/membership/cell_view.h"
+#include "gooseberrymoor/membership/membership_links.h"
+#include "gooseberrymoor/membership/ownership.h"
 
-#include <functional>
+#include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -13,56 +15,78 @@
 
 class counters;
 class key_value_store;
+class owned_work;
 class peer_network;
 class view_listener;
 
-// Keeps this node in its cell's view and follows the view. Not thread-safe.
+// Keeps this node in its cell's view, follows the view, and drives `ownership` with the store and
+// the links to the peers. Not thread-safe.
 class membership_keeper
 {
 public:
-    // All references must outlive the keeper.
+    // All references must outlive the keeper's last task.
     membership_keeper(asio::any_io_executor executor, key_value_store &store, std::string cell,
-                      member self, duration poll, peer_network &network, counters &events);
+                      member self, duration poll, ownership_timing timing, peer_network &network,
+                      counters &events);
 
     // Tells `listener` of each new view; it must outlive the keeper.
     void addListener(view_listener &listener);
 
-    // Joins the view, then follows it until `stop`.
+    // Asks `work` before a target is released; it must outlive the keeper.
+    void setWork(const owned_work &work) { m_decision.setWork(work); }
+
+    // The targets, each "service/name", and the availability zones out, that are configured now.
+    void configure(std::set<std::string> targets, std::set<std::string> zonesOut);
+
+    // Joins the view, then follows it until `stop`. The peer network must have its port by now:
+    // it shows that no earlier start of this node runs.
     asio::awaitable<void> run();
 
-    // Marks this node as leaving in the view; returns whether the store took it by `deadline`.
+    // Marks this node as leaving in the view; returns whether the view says so by `deadline`.
     asio::awaitable<bool> markLeaving(time_point deadline);
 
-    // Removes this node from the view; returns whether the store took it by `deadline`.
+    // Removes this node from the view; returns whether the view says so by `deadline`. Nothing of
+    // this node may run any more.
     asio::awaitable<bool> leave(time_point deadline);
 
-    // Ends `run` at its next wait.
+    // Ends all tasks at their next wait.
     void stop();
 
     // The newest view known.
-    const cell_view &view() const { return m_view; }
+    const cell_view &view() const { return m_decision.view(); }
 
     // Whether the newest view lists this process, not leaving.
     bool isMember() const;
 
-private:
-    using change = std::function<void(cell_view &)>;
-
-    asio::awaitable<bool> readView();
-    asio::awaitable<bool> changeView(change apply, time_point deadline);
-    void adopt(cell_view next);
+    // Which targets are this node's.
+    const ownership &owners() const { return m_decision; }
 
+private:
+    asio::awaitable<void> followStore();
+    asio::awaitable<void> readView();
+    asio::awaitable<void> swapView(cell_view wanted);
+    asio::awaitable<void> releaseTask();
+    bool isLeaving() const;
+    void perform(const ownership_actions &actions);
+    void followUp(const ownership_actions &actions);
+    void publishView();
+
+    asio::any_io_executor m_executor;
     key_value_store &m_store;
     std::string m_key;
-    member m_self;
     duration m_poll;
+    duration m_heartbeat;
     peer_network &m_network;
     counters &m_events;
+    ownership m_decision;
+    membership_links m_links;
     signal m_wake;
+    signal m_storeWake;
     std::vector<view_listener *> m_listeners;
-    cell_view m_view;
+    std::int64_t m_publishedEpoch = 0;
+    bool m_readWanted = false;
+    bool m_releasing = false;
     bool m_stopped = false;
-    bool m_departing = false;
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/node/node.cpp
+++ b/gooseberrymoor/node/node.cpp
@@ -16,6 +16,23 @@
 constexpr duration drain_check { 10 };
 constexpr duration store_patience { 3000 };
 
+std::set<std::string> targetsOf(const configuration &current)
+{
+    std::set<std::string> targets;
+    for (const auto &[name, service] : current.services) {
+        for (const group_config &group : service.groups) {
+            for (const target_config &target : group.targets)
+                targets.insert(name + "/" + target.name);
+        }
+    }
+    return targets;
+}
+
+ownership_timing timingFrom(const node_settings &settings)
+{
+    return { settings.heartbeat, settings.lease, settings.maxTimeout };
+}
+
 std::uint64_t randomNumber()
 {
     std::random_device source;
@@ -37,9 +54,8 @@
                  m_settings.storePoll, m_events),
       m_network(executor, m_settings.name, m_settings.cell, m_events),
       m_membership(executor, m_store, m_settings.cell, memberFrom(m_settings), m_settings.storePoll,
-                   m_network, m_events),
-      m_owner(
-          executor, [this](std::string_view target) { return ownsTarget(target); }, m_events),
+                   timingFrom(m_settings), m_network, m_events),
+      m_owner(executor, m_membership.owners(), m_settings.maxTimeout, m_events),
       m_leafServer(m_owner), m_gateway(m_settings.name, m_network, m_owner, m_events),
       m_selector(randomNumber()), m_hedging(fixed_hedge_delay, m_settings.hedgePercent),
       m_runner(m_gateway, m_selector, m_hedging), m_admission(m_settings.maxQueries),
@@ -55,6 +71,7 @@
     m_network.setHandler(message_kind::leaf_cancel, m_leafServer);
     m_network.setHandler(message_kind::leaf_response, m_gateway);
     m_membership.addListener(*this);
+    m_membership.setWork(m_owner);
 }
 
 tl::expected<void, std::string> node::start()
@@ -81,12 +98,15 @@
     const bool told = co_await m_membership.markLeaving(began + store_patience);
     if (!told)
         m_log.write("leave_not_recorded", { { "reason", "store did not answer" } });
-    m_owner.update(*m_configurations.current());
-    co_await m_wake.wait(began + m_settings.linger);
+    const time_point lingerUntil = began + m_settings.linger;
+    while (millis_clock::now() < lingerUntil)
+        co_await m_wake.wait(lingerUntil);
     m_admission.setPhase(entry_phase::closed);
     m_server.stopAccepting();
     co_await waitUntilIdle(millis_clock::now() + m_settings.maxTimeout + store_patience);
-    co_await m_membership.leave(millis_clock::now() + store_patience);
+    // Whoever leaves by itself says that nothing of it runs; else the others remove it.
+    if (m_owner.isIdle())
+        co_await m_membership.leave(millis_clock::now() + store_patience);
     m_stopped = true;
     m_follower.stop();
     m_membership.stop();
@@ -120,6 +140,7 @@
 void node::applyChanges()
 {
     const auto current = m_configurations.current();
+    m_membership.configure(targetsOf(*current), current->zonesOut);
     m_owner.update(*current);
     m_runner.setRoutes(std::make_shared<routing_table>(current, m_membership.view()));
     if (m_admission.phase() == entry_phase::starting && current->revision > 0
@@ -132,12 +153,6 @@
     return entriesFor(m_membership.view(), m_configurations.current()->zonesOut);
 }
 
-bool node::ownsTarget(std::string_view target) const
-{
-    const member *owner = ownerOf(m_membership.view(), target);
-    return owner && owner->name == m_settings.name;
-}
-
 asio::awaitable<void> node::waitUntilIdle(time_point deadline)
 {
     while (millis_clock::now() < deadline) {
--- a/gooseberrymoor/node/node.h
+++ b/gooseberrymoor/node/node.h
@@ -50,7 +50,6 @@
     asio::awaitable<void> followConfiguration();
     void applyChanges();
     std::vector<endpoint> directoryEntries() const;
-    bool ownsTarget(std::string_view target) const;
     asio::awaitable<void> waitUntilIdle(time_point deadline);
 
     asio::any_io_executor m_executor;
--- a/gooseberrymoor/node/state_report.cpp
+++ b/gooseberrymoor/node/state_report.cpp
@@ -35,6 +35,23 @@
     return { { "epoch", view.epoch }, { "members", members } };
 }
 
+json::object ownershipOf(const ownership &owners, time_point now)
+{
+    const bool alone = owners.leaseUntil() == time_point::max();
+    const duration left = std::max(owners.leaseUntil() - now, duration(0));
+    json::array suspects;
+    for (const std::string &name : owners.suspects(now))
+        suspects.push_back(json::string(name));
+    return { { "epoch", owners.view().epoch },
+             { "removals", owners.view().removals },
+             { "incarnation", std::to_string(owners.self().incarnation) },
+             { "listed", owners.isListed() },
+             { "only_member", alone },
+             { "lease_left_ms", alone ? 0 : left.count() },
+             { "waiting_targets", owners.waitingTargets(now) },
+             { "suspects", suspects } };
+}
+
 json::object targetsOf(const target_owner &owner, time_point now)
 {
     json::object targets;
@@ -84,6 +101,7 @@
             { "services", current->services.size() },
             { "zones_out", zonesOut } } },
         { "view", membersOf(m_parts.membership.view()) },
+        { "ownership", ownershipOf(m_parts.membership.owners(), millis_clock::now()) },
         { "links", links },
         { "targets", targetsOf(m_parts.owner, millis_clock::now()) },
         { "running_queries", m_parts.runner.running() },
--- a/gooseberrymoor/peer/message_kind.h
+++ b/gooseberrymoor/peer/message_kind.h
@@ -18,11 +18,14 @@
     lease_reply = 23,
     release_request = 24,
     release_reply = 25,
+    promise_request = 26,
+    promise_reply = 27,
+    view_update = 28,
     configuration_update = 30,
     version_evidence = 40,
 };
 
-constexpr name_table<message_kind, 12> names(message_kind)
+constexpr name_table<message_kind, 15> names(message_kind)
 {
     return { { { message_kind::hello, "hello" },
                { message_kind::leaf_request, "leaf_request" },
@@ -34,6 +37,9 @@
                { message_kind::lease_reply, "lease_reply" },
                { message_kind::release_request, "release_request" },
                { message_kind::release_reply, "release_reply" },
+               { message_kind::promise_request, "promise_request" },
+               { message_kind::promise_reply, "promise_reply" },
+               { message_kind::view_update, "view_update" },
                { message_kind::configuration_update, "configuration_update" },
                { message_kind::version_evidence, "version_evidence" } } };
 }
--- a/gooseberrymoor/peer/peer_channel.cpp
+++ b/gooseberrymoor/peer/peer_channel.cpp
@@ -26,12 +26,17 @@
 {
     m_open = false;
     m_queued.clear();
+    // A write to a peer that takes nothing more would never end by itself.
+    boost::system::error_code ignored;
+    if (m_socket)
+        m_socket->close(ignored);
     m_wake.notify();
 }
 
 asio::awaitable<void> peer_channel::writeLoop(asio::ip::tcp::socket &socket)
 {
     std::vector<std::uint8_t> writing;
+    m_socket = &socket;
     while (m_open) {
         if (m_queued.empty()) {
             co_await m_wake.wait();
@@ -44,8 +49,9 @@
         const auto [error, written]
             = co_await asio::async_write(socket, asio::buffer(writing), as_result);
         if (error)
-            co_return;
+            break;
     }
+    m_socket = nullptr;
 }
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/peer/peer_channel.h
+++ b/gooseberrymoor/peer/peer_channel.h
@@ -30,7 +30,7 @@
     // Whether messages can be queued.
     bool isOpen() const { return m_open; }
 
-    // Ends the channel; what is still queued is dropped.
+    // Ends the channel and its connection; what is still queued is dropped.
     void close();
 
     // Name of the node at the other end; empty until its hello.
@@ -46,6 +46,7 @@
 
 private:
     signal m_wake;
+    asio::ip::tcp::socket *m_socket = nullptr; // while `writeLoop` runs
     std::vector<std::uint8_t> m_queued;
     std::string m_peerName;
     time_point m_lastReceived = millis_clock::now();
--- a/gooseberrymoor/target/target_owner.cpp
+++ b/gooseberrymoor/target/target_owner.cpp
@@ -3,14 +3,29 @@
 #include "gooseberrymoor/admission/leaf_reply_sink.h"
 #include "gooseberrymoor/base/counters.h"
 #include "gooseberrymoor/configuration/configuration.h"
+#include "gooseberrymoor/membership/target_ownership.h"
 #include "gooseberrymoor/target/target_pool.h"
 
-#include <set>
+#include <algorithm>
 
 namespace gooseberrymoor {
 
-target_owner::target_owner(asio::any_io_executor executor, ownership_test isOwner, counters &events)
-    : m_executor(std::move(executor)), m_isOwner(std::move(isOwner)), m_events(events)
+namespace {
+
+void refuse(const leaf_request &request, leaf_reply_sink &sink, error_kind reason)
+{
+    leaf_response response;
+    response.id = request.id;
+    response.error = reason;
+    sink.reply(std::move(response));
+}
+
+} // namespace
+
+target_owner::target_owner(asio::any_io_executor executor, const target_ownership &ownership,
+                           duration longestRequest, counters &events)
+    : m_executor(std::move(executor)), m_ownership(ownership), m_longestRequest(longestRequest),
+      m_events(events)
 {
 }
 
@@ -23,7 +38,7 @@
         for (const group_config &group : service.groups) {
             for (const target_config &target : group.targets) {
                 const std::string key = name + "/" + target.name;
-                if (!m_isOwner(key))
+                if (!m_ownership.isOwner(key))
                     continue;
                 const auto found = m_pools.find(key);
                 const bool same = found != m_pools.end() && found->second->target() == target;
@@ -49,10 +64,14 @@
     const auto found = m_pools.find(request.service + "/" + request.target);
     if (found == m_pools.end()) {
         m_events.add("leaf_requests_not_owned");
-        leaf_response response;
-        response.id = request.id;
-        response.error = error_kind::not_owner;
-        sink->reply(std::move(response));
+        refuse(request, *sink, error_kind::not_owner);
+        return;
+    }
+    // The next owner counts on it that nothing runs longer.
+    request.timeout = std::min(request.timeout, m_longestRequest);
+    if (!m_ownership.mayStart(found->first, millis_clock::now())) {
+        m_events.add("leaf_requests_without_owner");
+        refuse(request, *sink, error_kind::no_owner);
         return;
     }
     found->second->submit(origin, std::move(request), std::move(sink));
@@ -66,25 +85,28 @@
         pool->cancel(origin, id);
 }
 
-bool target_owner::mayStart(std::string_view target, time_point) const
+bool target_owner::mayStart(std::string_view target, time_point now) const
 {
-    return m_isOwner(target);
+    return m_ownership.mayStart(target, now);
 }
 
 bool target_owner::mayStillRun(std::string_view target) const
 {
+    const time_point now = millis_clock::now();
     const auto found = m_pools.find(std::string(target));
-    if (found != m_pools.end() && !found->second->isIdle())
+    if (found != m_pools.end() && found->second->mayStillRun(now))
         return true;
-    return std::ranges::any_of(
-        m_retired, [target](const auto &pool) { return pool->key() == target && !pool->isIdle(); });
+    return std::ranges::any_of(m_retired, [&](const auto &pool) {
+        return pool->key() == target && pool->mayStillRun(now);
+    });
 }
 
 bool target_owner::isIdle()
 {
-    std::erase_if(m_retired, [](const auto &pool) { return pool->isIdle(); });
-    const bool poolsIdle
-        = std::ranges::all_of(m_pools, [](const auto &each) { return each.second->isIdle(); });
+    const time_point now = millis_clock::now();
+    std::erase_if(m_retired, [now](const auto &pool) { return !pool->mayStillRun(now); });
+    const bool poolsIdle = std::ranges::none_of(
+        m_pools, [now](const auto &each) { return each.second->mayStillRun(now); });
     return poolsIdle && m_retired.empty();
 }
 
--- a/gooseberrymoor/target/target_owner.h
+++ b/gooseberrymoor/target/target_owner.h
@@ -5,7 +5,6 @@
 #include "gooseberrymoor/base/net.h"
 #include "gooseberrymoor/membership/owned_work.h"
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -15,6 +14,7 @@
 namespace gooseberrymoor {
 
 class counters;
+class target_ownership;
 class target_pool;
 struct configuration;
 
@@ -22,11 +22,10 @@
 class target_owner : public leaf_service, public owner_permission, public owned_work
 {
 public:
-    // Says whether this node owns the target "service/name" now.
-    using ownership_test = std::function<bool(std::string_view target)>;
-
-    // References must outlive the owner's last task.
-    target_owner(asio::any_io_executor executor, ownership_test isOwner, counters &events);
+    // `ownership` says which targets are this node's. No request runs longer than
+    // `longestRequest`. References must outlive the owner's last task.
+    target_owner(asio::any_io_executor executor, const target_ownership &ownership,
+                 duration longestRequest, counters &events);
     ~target_owner() override;
 
     // Makes pools for the targets owned now under `current` and retires all others.
@@ -47,7 +46,8 @@
 
 private:
     asio::any_io_executor m_executor;
-    ownership_test m_isOwner;
+    const target_ownership &m_ownership;
+    duration m_longestRequest;
     counters &m_events;
     std::map<std::string, std::shared_ptr<target_pool>> m_pools;
     std::vector<std::shared_ptr<target_pool>> m_retired; // until they are idle
--- a/gooseberrymoor/target/target_pool.cpp
+++ b/gooseberrymoor/target/target_pool.cpp
@@ -192,6 +192,8 @@
     if (!reply.instance.empty())
         m_admission.observeInstance(reply.instance, ended);
     m_admission.finish(which, reply.result, ended);
+    if (reply.result == leaf_result::lost)
+        m_lostRunUntil = std::max(m_lostRunUntil, deadline);
     leaf_response response;
     response.error = reply.error;
     response.outcome = reply.outcome;
--- a/gooseberrymoor/target/target_pool.h
+++ b/gooseberrymoor/target/target_pool.h
@@ -42,6 +42,10 @@
     // Whether nothing waits and nothing runs.
     bool isIdle() const { return m_works.empty(); }
 
+    // Whether something waits, or may run at the target; what lost its connection may do so
+    // until its deadline.
+    bool mayStillRun(time_point now) const { return !isIdle() || now < m_lostRunUntil; }
+
     // "service/target".
     const std::string &key() const { return m_key; }
     const target_admission &admission() const { return m_admission; }
@@ -80,6 +84,7 @@
     signal m_expiryWake;
     std::string m_poolId;
     ticket m_lastTicket = 0;
+    time_point m_lostRunUntil {}; // latest deadline of what lost its connection
     int m_connections = 0;
     int m_idleConnections = 0;
     bool m_retired = false;
