Let tasks on one signal sleep when one of them has been woken by time

Cause: a waiter that woke at its time waited again on the expiry that had passed while another waiter was still counted, and so woke at once, for ever. Ruled out: the stand-ins and the store's client (the store stand-in used 2 ticks in all). Change: an expiry that has passed is set anew. Conclusion: a fault of the base slice that several waiters bring out.

--- a/gooseberrymoor/base/signal.cpp
+++ b/gooseberrymoor/base/signal.cpp
@@ -12,10 +12,12 @@
 
 asio::awaitable<void> signal::wait(time_point until)
 {
-    const time_point latest = millis_clock::now() + longest_wait;
-    const time_point expiry = std::min(until, latest);
-    // Another waiter's earlier expiry stands: it wakes all, and each checks its own condition.
-    if (m_waiters == 0 || expiry < m_timer.expiry())
+    const time_point now = millis_clock::now();
+    const time_point expiry = std::min(until, now + longest_wait);
+    // Another waiter's earlier expiry stands, unless it has passed: it wakes all, and each checks
+    // its own condition.
+    const bool passed = m_timer.expiry() <= now;
+    if (m_waiters == 0 || passed || expiry < m_timer.expiry())
         m_timer.expires_at(expiry);
     ++m_waiters;
     co_await m_timer.async_wait(as_result);
--- /dev/null
+++ b/gooseberrymoor/base/signal_test.cpp
@@ -0,0 +1,53 @@
+#include "gooseberrymoor/base/signal.h"
+
+#include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/base/manual_time.h"
+#include "gooseberrymoor/base/task.h"
+
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+
+using namespace gooseberrymoor;
+
+namespace {
+
+// Waits again and again until `end`, and counts how often it was woken.
+asio::awaitable<void> waitInSteps(gooseberrymoor::signal &wake, duration step, time_point end,
+                                  int &wakes)
+{
+    time_point next = millis_clock::now() + step;
+    while (millis_clock::now() < end) {
+        co_await wake.wait(next);
+        ++wakes;
+        if (millis_clock::now() >= next)
+            next += step;
+    }
+}
+
+} // namespace
+
+TEST_CASE("Tasks that wait on one signal for different times")
+{
+    manual_time time;
+    asio::io_context context;
+    counters events;
+    gooseberrymoor::signal wake(context.get_executor());
+    int wakes = 0;
+    const time_point end = millis_clock::now() + duration(100);
+    startTask(context.get_executor(), events, "first", waitInSteps(wake, duration(10), end, wakes));
+    startTask(context.get_executor(), events, "second",
+              waitInSteps(wake, duration(15), end, wakes));
+
+    SUBCASE("sleep in between")
+    {
+        constexpr int most_turns = 10'000;
+        int turns = 0;
+        while (!context.stopped() && turns < most_turns) {
+            while (turns < most_turns && context.poll_one() > 0)
+                ++turns;
+            time.advance(duration(1));
+        }
+        CHECK(turns < most_turns);
+        CHECK(wakes < 100);
+    }
+}
