--- a/gooseberrymoor/admission/leaf_codec.cpp
+++ b/gooseberrymoor/admission/leaf_codec.cpp
@@ -13,7 +13,7 @@
         builder, request.id, builder.CreateString(request.service),
         builder.CreateString(request.target), builder.CreateString(request.shard),
         builder.CreateString(request.snapshot), request.idempotent, request.timeout.count(),
-        builder.CreateString(request.body)));
+        builder.CreateString(request.body), builder.CreateString(request.route)));
     return channel.send(message_kind::leaf_request, bytesOf(builder));
 }
 
@@ -46,7 +46,8 @@
                           textOf(from->snapshot()),
                           from->idempotent(),
                           duration(from->timeout_ms()),
-                          textOf(from->body()) };
+                          textOf(from->body()),
+                          textOf(from->route()) };
 }
 
 std::optional<leaf_response> decodeLeafResponse(std::span<const std::uint8_t> payload)
--- a/gooseberrymoor/admission/leaf_message.h
+++ b/gooseberrymoor/admission/leaf_message.h
@@ -19,6 +19,7 @@
     bool idempotent = true;
     duration timeout {}; // time left when it was sent
     std::string body;
+    std::string route {}; // as the caller named it; may be empty
 };
 
 // The answer to a `leaf_request`, or why there is none. Value type.
--- a/gooseberrymoor/admission/leaf_message_generated.h
+++ b/gooseberrymoor/admission/leaf_message_generated.h
@@ -36,7 +36,8 @@
     VT_SNAPSHOT = 12,
     VT_IDEMPOTENT = 14,
     VT_TIMEOUT_MS = 16,
-    VT_BODY = 18
+    VT_BODY = 18,
+    VT_ROUTE = 20
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -62,6 +63,9 @@
   const flatbuffers::String *body() const {
     return GetPointer<const flatbuffers::String *>(VT_BODY);
   }
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -77,6 +81,8 @@
            VerifyField<int64_t>(verifier, VT_TIMEOUT_MS, 8) &&
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyString(body()) &&
+           VerifyOffset(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) &&
            verifier.EndTable();
   }
 };
@@ -109,6 +115,9 @@
   void add_body(flatbuffers::Offset<flatbuffers::String> body) {
     fbb_.AddOffset(leaf_request::VT_BODY, body);
   }
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(leaf_request::VT_ROUTE, route);
+  }
   explicit leaf_requestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -129,10 +138,12 @@
     flatbuffers::Offset<flatbuffers::String> snapshot = 0,
     bool idempotent = false,
     int64_t timeout_ms = 0,
-    flatbuffers::Offset<flatbuffers::String> body = 0) {
+    flatbuffers::Offset<flatbuffers::String> body = 0,
+    flatbuffers::Offset<flatbuffers::String> route = 0) {
   leaf_requestBuilder builder_(_fbb);
   builder_.add_timeout_ms(timeout_ms);
   builder_.add_id(id);
+  builder_.add_route(route);
   builder_.add_body(body);
   builder_.add_snapshot(snapshot);
   builder_.add_shard(shard);
@@ -156,12 +167,14 @@
     const char *snapshot = nullptr,
     bool idempotent = false,
     int64_t timeout_ms = 0,
-    const char *body = nullptr) {
+    const char *body = nullptr,
+    const char *route = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto shard__ = shard ? _fbb.CreateString(shard) : 0;
   auto snapshot__ = snapshot ? _fbb.CreateString(snapshot) : 0;
   auto body__ = body ? _fbb.CreateString(body) : 0;
+  auto route__ = route ? _fbb.CreateString(route) : 0;
   return gooseberrymoor::wire::Createleaf_request(
       _fbb,
       id,
@@ -171,7 +184,8 @@
       snapshot__,
       idempotent,
       timeout_ms,
-      body__);
+      body__,
+      route__);
 }
 
 struct leaf_response FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/gooseberrymoor/entry/caller_codec.cpp
+++ b/gooseberrymoor/entry/caller_codec.cpp
@@ -12,6 +12,8 @@
 
 namespace json = boost::json;
 
+constexpr std::size_t longest_route = 64; // bytes
+
 request_error badRequest(std::string detail)
 {
     return { error_kind::bad_request, verdict::not_run, std::move(detail) };
@@ -36,6 +38,24 @@
     return std::string(value->as_string());
 }
 
+bool isRouteLetter(char letter)
+{
+    const bool isLetter = (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z');
+    const bool isDigit = letter >= '0' && letter <= '9';
+    return isLetter || isDigit || letter == '-' || letter == '_' || letter == '/';
+}
+
+tl::expected<std::string, request_error> routeOf(const json::object &from)
+{
+    auto route = textOf(from, "route");
+    if (!route)
+        return route;
+    if (route->size() > longest_route || !std::ranges::all_of(*route, isRouteLetter))
+        return tl::unexpected(
+            badRequest("route is longer than 64 bytes or has more than letters, digits, - _ /"));
+    return route;
+}
+
 tl::expected<time_point, request_error> deadlineOf(const json::object &from,
                                                    const timeout_limits &limits, time_point now)
 {
@@ -61,10 +81,14 @@
     const auto deadline = deadlineOf(from, limits, now);
     if (!deadline)
         return tl::unexpected(deadline.error());
+    auto route = routeOf(from);
+    if (!route)
+        return tl::unexpected(route.error());
     query_request request;
     request.service = service;
     request.body = *body;
     request.deadline = *deadline;
+    request.route = std::move(*route);
     return request;
 }
 
--- a/gooseberrymoor/entry/caller_codec_test.cpp
+++ b/gooseberrymoor/entry/caller_codec_test.cpp
@@ -37,6 +37,19 @@
         CHECK(request.error().kind == error_kind::deadline_passed);
         CHECK(request.error().outcome == verdict::not_run);
     }
+    SUBCASE("with a route, which is kept")
+    {
+        const auto request = decodeQuery("standings", R"({"route":"laps/live_1-a"})", limits, now);
+        REQUIRE(request);
+        CHECK(request->route == "laps/live_1-a");
+    }
+    SUBCASE("with a route that is none")
+    {
+        const std::string tooLong(65, 'a');
+        CHECK(!decodeQuery("standings", R"({"route":"a b"})", limits, now));
+        CHECK(!decodeQuery("standings", R"({"route":7})", limits, now));
+        CHECK(!decodeQuery("standings", R"({"route":")" + tooLong + R"("})", limits, now));
+    }
     SUBCASE("that is malformed")
     {
         for (const char *body : { "", "{", "[]", R"({"body":1})", R"({"shards":"s1"})",
--- a/gooseberrymoor/entry/entry_admission.h
+++ b/gooseberrymoor/entry/entry_admission.h
@@ -1,12 +1,18 @@
 #pragma once
 
 #include "gooseberrymoor/base/request_error.h"
+#include "gooseberrymoor/entry/adaptive_rate.h"
 
 #include <cstddef>
+#include <map>
 #include <optional>
+#include <string>
 
 namespace gooseberrymoor {
 
+struct query_answer;
+struct query_request;
+
 // Whether this node takes callers' requests.
 enum class entry_phase {
     starting, // no configuration yet
@@ -23,7 +29,8 @@
                { entry_phase::closed, "closed" } } };
 }
 
-// Decides which callers' requests this node takes. Not thread-safe.
+// Decides which callers' requests this node takes. All refusals are made before any work, so they
+// are true as not run. Not thread-safe.
 class entry_admission
 {
 public:
@@ -32,22 +39,24 @@
     entry_phase phase() const { return m_phase; }
     void setPhase(entry_phase phase) { m_phase = phase; }
 
-    // Why a new request is refused while `running` run, all as not run; nothing if it is taken.
-    std::optional<request_error> refusal(std::size_t running) const
-    {
-        if (m_phase == entry_phase::starting)
-            return request_error { error_kind::not_ready, verdict::not_run,
-                                   "no configuration yet" };
-        if (m_phase == entry_phase::closed)
-            return request_error { error_kind::draining, verdict::not_run, "the node is leaving" };
-        if (running >= m_maxQueries)
-            return request_error { error_kind::overloaded, verdict::not_run, "too many queries" };
-        return std::nullopt;
-    }
+    // Why any new request is refused while `running` run; nothing if none of these reasons holds.
+    std::optional<request_error> refusal(std::size_t running) const;
+
+    // Why `request` is refused for the recent load of its service; nothing if it is taken, which
+    // is then counted. The service must be known, or state would grow with what callers make up.
+    std::optional<request_error> refuseForLoad(const query_request &request, time_point now);
+
+    // A request of `service` that was taken was answered with `answer` after `took`.
+    void onAnswered(const std::string &service, const query_answer &answer, duration took,
+                    time_point now);
+
+    // The limits found, by service.
+    const std::map<std::string, adaptive_rate> &rates() const { return m_rates; }
 
 private:
     std::size_t m_maxQueries;
     entry_phase m_phase = entry_phase::starting;
+    std::map<std::string, adaptive_rate> m_rates;
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/entry/entry_handler.cpp
+++ b/gooseberrymoor/entry/entry_handler.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrymoor/entry/entry_handler.h"
 
+#include "gooseberrymoor/base/cancellation.h"
 #include "gooseberrymoor/base/counters.h"
 #include "gooseberrymoor/entry/state_source.h"
 #include "gooseberrymoor/http/refusal.h"
@@ -37,7 +38,7 @@
     if (path == "/metrics")
         co_return http_reply(200, m_state.metrics(), "text/plain; version=0.0.4");
     if (path.starts_with(services_path))
-        co_return co_await handleService(request, path.substr(services_path.size()));
+        co_return co_await handleService(std::move(request), path.substr(services_path.size()));
     co_return refuseWith(unknownPath());
 }
 
@@ -46,8 +47,7 @@
     return refuseWith({ kind, verdict::not_run, "" });
 }
 
-asio::awaitable<http_reply> entry_handler::handleService(const http_request &request,
-                                                         std::string path)
+asio::awaitable<http_reply> entry_handler::handleService(http_request request, std::string path)
 {
     const std::size_t slash = path.find('/');
     const std::string service = path.substr(0, slash);
@@ -57,40 +57,55 @@
     if (const auto refused = m_admission.refusal(m_runner.running()))
         co_return refuseWith(*refused);
     if (action == "query")
-        co_return co_await handleQuery(service, request.body);
-    co_return co_await handleShardRequest(service, request.body);
+        co_return co_await handleQuery(service, std::move(request));
+    co_return co_await handleShardRequest(service, std::move(request));
 }
 
-asio::awaitable<http_reply> entry_handler::handleQuery(std::string service, std::string body)
+asio::awaitable<http_reply> entry_handler::handleQuery(std::string service, http_request from)
 {
     const time_point began = millis_clock::now();
-    auto request = decodeQuery(service, body, m_timeouts, began);
+    auto request = decodeQuery(service, from.body, m_timeouts, began);
     if (!request)
         co_return refuseWith(request.error());
     if (const auto refused = check(*request))
         co_return refuseWith(*refused);
-    const query_answer answer = co_await m_runner.run(std::move(*request));
+    const query_answer answer = co_await run(std::move(*request), std::move(from.abandoned));
     m_queryLatency.record(millis_clock::now() - began);
     m_events.add("queries");
     m_events.add("shards_asked", answer.shards());
     m_events.add("shards_covered", answer.results.size());
-    m_events.add("extra_leaf_requests", static_cast<std::uint64_t>(answer.extraRequests));
     co_return encodeAnswer(answer);
 }
 
-asio::awaitable<http_reply> entry_handler::handleShardRequest(std::string service, std::string body)
+asio::awaitable<http_reply> entry_handler::handleShardRequest(std::string service,
+                                                              http_request from)
 {
-    auto request = decodeShardRequest(service, body, m_timeouts, millis_clock::now());
+    auto request = decodeShardRequest(service, from.body, m_timeouts, millis_clock::now());
     if (!request)
         co_return refuseWith(request.error());
     if (const auto refused = check(*request))
         co_return refuseWith(*refused);
-    const query_answer answer = co_await m_runner.run(std::move(*request));
+    const query_answer answer = co_await run(std::move(*request), std::move(from.abandoned));
     m_events.add("shard_requests");
     co_return encodeShardAnswer(answer);
 }
 
-std::optional<request_error> entry_handler::check(const query_request &request) const
+asio::awaitable<query_answer> entry_handler::run(query_request request,
+                                                 std::shared_ptr<cancellation> abandoned)
+{
+    const std::string service = request.service;
+    const time_point began = millis_clock::now();
+    query_answer answer = co_await m_runner.run(std::move(request), abandoned);
+    const time_point ended = millis_clock::now();
+    m_events.add("extra_leaf_requests", static_cast<std::uint64_t>(answer.extraRequests));
+    if (abandoned && abandoned->isCancelled())
+        m_events.add("queries_abandoned");
+    else
+        m_admission.onAnswered(service, answer, ended - began, ended);
+    co_return answer;
+}
+
+std::optional<request_error> entry_handler::check(const query_request &request)
 {
     const auto routes = m_runner.routes();
     const service_config *service = routes ? routes->findService(request.service) : nullptr;
@@ -101,7 +116,7 @@
         if (!snapshot.groupOfShard.contains(shard))
             return request_error { error_kind::unknown_shard, verdict::not_run, shard };
     }
-    return std::nullopt;
+    return m_admission.refuseForLoad(request, millis_clock::now());
 }
 
 http_reply entry_handler::refuseWith(const request_error &error)
--- a/gooseberrymoor/entry/entry_handler.h
+++ b/gooseberrymoor/entry/entry_handler.h
@@ -33,10 +33,12 @@
     const latency_histogram &queryLatency() const { return m_queryLatency; }
 
 private:
-    asio::awaitable<http_reply> handleService(const http_request &request, std::string path);
-    asio::awaitable<http_reply> handleQuery(std::string service, std::string body);
-    asio::awaitable<http_reply> handleShardRequest(std::string service, std::string body);
-    std::optional<request_error> check(const query_request &request) const;
+    asio::awaitable<http_reply> handleService(http_request request, std::string path);
+    asio::awaitable<http_reply> handleQuery(std::string service, http_request from);
+    asio::awaitable<http_reply> handleShardRequest(std::string service, http_request from);
+    asio::awaitable<query_answer> run(query_request request,
+                                      std::shared_ptr<cancellation> abandoned);
+    std::optional<request_error> check(const query_request &request);
     http_reply refuseWith(const request_error &error);
 
     query_runner &m_runner;
--- a/gooseberrymoor/http/http_message.h
+++ b/gooseberrymoor/http/http_message.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include <memory>
 #include <string>
 #include <utility>
 
 namespace gooseberrymoor {
 
+class cancellation;
+
 // One HTTP request without its connection. Value type.
 // It has a constructor because g++ 12 destroys a brace-initialized aggregate twice if it is a
 // temporary in a co_await expression.
@@ -19,6 +22,7 @@
     std::string method;
     std::string path; // with the query string
     std::string body; // JSON
+    std::shared_ptr<cancellation> abandoned; // cancelled when the client closes; may be null
 };
 
 // The answer to an `http_request`. Value type.
--- a/gooseberrymoor/http/http_server.cpp
+++ b/gooseberrymoor/http/http_server.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrymoor/http/http_server.h"
 
+#include "gooseberrymoor/base/cancellation.h"
 #include "gooseberrymoor/base/counters.h"
 #include "gooseberrymoor/base/task.h"
 #include "gooseberrymoor/base/timer.h"
@@ -35,6 +36,39 @@
         || error == asio::error::bad_descriptor;
 }
 
+// Watches the socket of a client that waits for its answer. A socket that becomes readable with
+// nothing to read was closed by the client. Leaving its scope ends the watch; the socket must
+// outlive it.
+class close_watch
+{
+public:
+    close_watch(tcp::socket &socket, std::shared_ptr<cancellation> abandoned)
+        : m_socket(socket), m_live(std::make_shared<bool>(true))
+    {
+        socket.async_wait(tcp::socket::wait_read,
+                          [&socket, live = m_live, abandoned = std::move(abandoned)](
+                              const boost::system::error_code &error) {
+                              if (!*live || error)
+                                  return;
+                              boost::system::error_code failure;
+                              if (socket.available(failure) == 0)
+                                  abandoned->cancel();
+                          });
+    }
+    ~close_watch()
+    {
+        *m_live = false;
+        boost::system::error_code ignored;
+        m_socket.cancel(ignored);
+    }
+    close_watch(const close_watch &) = delete;
+    close_watch &operator=(const close_watch &) = delete;
+
+private:
+    tcp::socket &m_socket;
+    std::shared_ptr<bool> m_live;
+};
+
 } // namespace
 
 http_server::http_server(asio::any_io_executor executor, http_handler &handler, counters &events,
@@ -126,9 +160,11 @@
             auto message = parser.release();
             version = message.version();
             keepAlive = message.keep_alive();
-            reply = co_await m_handler.handle({ std::string(message.method_string()),
-                                                std::string(message.target()),
-                                                std::move(message.body()) });
+            http_request request(std::string(message.method_string()),
+                                 std::string(message.target()), std::move(message.body()));
+            request.abandoned = std::make_shared<cancellation>();
+            const close_watch watch(socket, request.abandoned);
+            reply = co_await m_handler.handle(std::move(request));
         }
         keepAlive = keepAlive && !m_stopping && !reply.closeAfter;
         const auto message = toMessage(std::move(reply), version, keepAlive);
--- a/gooseberrymoor/node/node.cpp
+++ b/gooseberrymoor/node/node.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr duration fixed_hedge_delay { 50 };
 constexpr duration change_check { 50 };
 constexpr duration drain_check { 10 };
 constexpr duration store_patience { 3000 };
@@ -41,8 +40,10 @@
       m_owner(
           executor, [this](std::string_view target) { return ownsTarget(target); }, m_events),
       m_leafServer(m_owner), m_gateway(m_settings.name, m_network, m_owner, m_events),
-      m_selector(randomNumber()), m_hedging(fixed_hedge_delay, m_settings.hedgePercent),
-      m_runner(m_gateway, m_selector, m_hedging), m_admission(m_settings.maxQueries),
+      m_selector(m_settings.availabilityZone, randomNumber()), m_hedging(m_settings.hedgePercent),
+      m_extraBudget(m_settings.hedgePercent), m_random(randomNumber()),
+      m_runner(m_gateway, { m_selector, m_hedging, m_extraBudget, m_snapshots, m_random }),
+      m_admission(m_settings.maxQueries),
       m_report({ m_settings, m_events, m_configurations, m_membership, m_network, m_owner, m_runner,
                  m_gateway, m_admission }),
       m_handler(
--- a/gooseberrymoor/node/node.h
+++ b/gooseberrymoor/node/node.h
@@ -13,10 +13,12 @@
 #include "gooseberrymoor/membership/view_listener.h"
 #include "gooseberrymoor/node/state_report.h"
 #include "gooseberrymoor/peer/peer_network.h"
-#include "gooseberrymoor/query/fixed_hedge_policy.h"
+#include "gooseberrymoor/query/extra_budget.h"
 #include "gooseberrymoor/query/leaf_gateway.h"
-#include "gooseberrymoor/query/least_outstanding_selector.h"
+#include "gooseberrymoor/query/quantile_hedge_policy.h"
 #include "gooseberrymoor/query/query_runner.h"
+#include "gooseberrymoor/query/snapshot_preference.h"
+#include "gooseberrymoor/query/two_choice_selector.h"
 #include "gooseberrymoor/settings/node_settings.h"
 #include "gooseberrymoor/store/etcd_store.h"
 #include "gooseberrymoor/target/target_owner.h"
@@ -24,6 +26,7 @@
 #include <tl/expected.hpp>
 
 #include <cstdint>
+#include <random>
 #include <string>
 
 namespace gooseberrymoor {
@@ -65,8 +68,11 @@
     target_owner m_owner;
     leaf_server m_leafServer;
     leaf_gateway m_gateway;
-    least_outstanding_selector m_selector;
-    fixed_hedge_policy m_hedging;
+    two_choice_selector m_selector;
+    quantile_hedge_policy m_hedging;
+    extra_budget m_extraBudget;
+    snapshot_preference m_snapshots;
+    std::mt19937_64 m_random;
     query_runner m_runner;
     entry_admission m_admission;
     state_report m_report;
--- a/gooseberrymoor/query/fixed_hedge_policy.h
+++ b/gooseberrymoor/query/fixed_hedge_policy.h
@@ -4,22 +4,18 @@
 
 namespace gooseberrymoor {
 
-// Hedges after a fixed delay, for a stated share of the first requests.
+// Hedges after a fixed delay, or never.
 class fixed_hedge_policy : public hedge_policy
 {
 public:
-    // `extraPercent` of the first requests may be sent again; 0 never hedges or retries.
-    fixed_hedge_policy(duration delay, int extraPercent);
+    // Without a `delay` it never hedges.
+    explicit fixed_hedge_policy(std::optional<duration> delay) : m_delay(delay) { }
 
-    std::optional<duration> delay(const std::string &service) override;
-    bool takeExtra() override;
-    void onFirstSent() override;
-    void onAnswered(const std::string &service, duration latency) override;
+    std::optional<duration> delay(const std::string &) override { return m_delay; }
+    void onEnded(const std::string &, duration) override { }
 
 private:
-    duration m_delay;
-    int m_extraPercent;
-    int m_budgetPercent; // in hundredths of a request
+    std::optional<duration> m_delay;
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/query/hedge_policy.h
+++ b/gooseberrymoor/query/hedge_policy.h
@@ -7,8 +7,8 @@
 
 namespace gooseberrymoor {
 
-// Decides when a leaf request without an answer is asked of a second target, and whether the
-// budget for extra requests allows it. Not thread-safe.
+// Decides when a leaf request without an answer is asked of a second target. Whether it is then
+// asked is up to the `extra_budget`. Not thread-safe.
 class hedge_policy
 {
 public:
@@ -17,14 +17,8 @@
     // How long to wait for a first answer of `service` before hedging; nothing for never.
     virtual std::optional<duration> delay(const std::string &service) = 0;
 
-    // Takes one extra request out of the budget; false if none is left.
-    virtual bool takeExtra() = 0;
-
-    // A first request was sent: it earns budget.
-    virtual void onFirstSent() = 0;
-
-    // A leaf request of `service` was answered after `latency`.
-    virtual void onAnswered(const std::string &service, duration latency) = 0;
+    // A leaf request of `service` was answered after `latency`, or given up after it.
+    virtual void onEnded(const std::string &service, duration latency) = 0;
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/query/leaf_candidate.h
+++ b/gooseberrymoor/query/leaf_candidate.h
@@ -8,7 +8,10 @@
 struct leaf_candidate
 {
     std::string target; // its name in the service
+    std::string key; // "service/target"
     std::string version;
+    int sharePermille = 0; // of its version, not 0
+    std::string availabilityZone;
     std::string owner; // name of the owning node
 };
 
--- a/gooseberrymoor/query/leaf_inbox.h
+++ b/gooseberrymoor/query/leaf_inbox.h
@@ -20,6 +20,9 @@
     // Adds an answer and wakes the task.
     void push(int attempt, leaf_response response);
 
+    // Wakes the task without an answer.
+    void wake() { m_wake.notify(); }
+
     // Takes the oldest answer, if there is one.
     std::optional<entry> pop();
 
--- a/gooseberrymoor/query/leaf_selector.h
+++ b/gooseberrymoor/query/leaf_selector.h
@@ -1,32 +1,33 @@
 #pragma once
 
+#include "gooseberrymoor/base/millis_clock.h"
 #include "gooseberrymoor/query/leaf_candidate.h"
 
 #include <cstddef>
-#include <optional>
-#include <set>
+#include <span>
 #include <string>
 #include <vector>
 
 namespace gooseberrymoor {
 
+struct leaf_ending;
+
 // Chooses the target that a leaf request goes to. Not thread-safe.
 class leaf_selector
 {
 public:
     virtual ~leaf_selector() = default;
 
-    // Index into `candidates` of one that is not in `excluded`; nothing if all are.
-    virtual std::optional<std::size_t> choose(const std::string &service,
-                                              const std::vector<leaf_candidate> &candidates,
-                                              const std::set<std::string> &excluded)
+    // One of `eligible`, which are indices into `candidates` and not empty.
+    virtual std::size_t choose(const std::vector<leaf_candidate> &candidates,
+                               std::span<const std::size_t> eligible, time_point now)
         = 0;
 
     // A request was sent to `target` ("service/name").
     virtual void onSent(const std::string &target) = 0;
 
-    // A request sent to `target` has ended.
-    virtual void onEnded(const std::string &target) = 0;
+    // A request sent to `target` has ended, or its answer is no longer wanted.
+    virtual void onEnded(const std::string &target, const leaf_ending &ending, time_point now) = 0;
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/query/query_request.h
+++ b/gooseberrymoor/query/query_request.h
@@ -15,6 +15,7 @@
     std::string body;
     bool idempotent = true; // false: exactly one shard, sent once
     time_point deadline {};
+    std::string route {}; // what kind of request it is, as the caller names it; may be empty
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/query/query_runner.h
+++ b/gooseberrymoor/query/query_runner.h
@@ -2,6 +2,7 @@
 
 #include "gooseberrymoor/base/net.h"
 #include "gooseberrymoor/query/query_answer.h"
+#include "gooseberrymoor/query/query_policies.h"
 #include "gooseberrymoor/query/query_request.h"
 
 #include <cstddef>
@@ -9,9 +10,8 @@
 
 namespace gooseberrymoor {
 
-class hedge_policy;
+class cancellation;
 class leaf_gateway;
-class leaf_selector;
 class routing_table;
 
 // Runs queries within the task that calls it. Not thread-safe.
@@ -19,24 +19,25 @@
 {
 public:
     // References must outlive the runner.
-    query_runner(leaf_gateway &gateway, leaf_selector &selector, hedge_policy &hedging);
+    query_runner(leaf_gateway &gateway, query_policies policies);
 
-    // Uses `routes` for queries that begin from now on.
+    // Uses `routes` for all that is sent from now on.
     void setRoutes(std::shared_ptr<const routing_table> routes) { m_routes = std::move(routes); }
 
     // The routes in use; null before the first.
     std::shared_ptr<const routing_table> routes() const { return m_routes; }
 
-    // Runs one query to its answer. Its service must be in the routes.
-    asio::awaitable<query_answer> run(query_request request);
+    // Runs one query to its answer, or until `abandoned` (may be null) is cancelled. Its service
+    // must be in the routes.
+    asio::awaitable<query_answer> run(query_request request,
+                                      std::shared_ptr<cancellation> abandoned);
 
     // Queries that run now.
     std::size_t running() const { return m_running; }
 
 private:
     leaf_gateway &m_gateway;
-    leaf_selector &m_selector;
-    hedge_policy &m_hedging;
+    query_policies m_policies;
     std::shared_ptr<const routing_table> m_routes;
     std::size_t m_running = 0;
 };
--- /dev/null
+++ b/gooseberrymoor/query/round_robin_selector.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "gooseberrymoor/query/leaf_selector.h"
+
+#include <unordered_map>
+
+namespace gooseberrymoor {
+
+// Goes through the candidates in turn, whatever their load; the baseline for comparisons.
+class round_robin_selector : public leaf_selector
+{
+public:
+    std::size_t choose(const std::vector<leaf_candidate> &candidates,
+                       std::span<const std::size_t> eligible, time_point now) override;
+    void onSent(const std::string &target) override;
+    void onEnded(const std::string &target, const leaf_ending &ending, time_point now) override;
+
+private:
+    std::unordered_map<std::string, std::size_t> m_turns; // by the first candidate's key
+};
+
+} // namespace gooseberrymoor
--- a/gooseberrymoor/query/routing_table.cpp
+++ b/gooseberrymoor/query/routing_table.cpp
@@ -6,12 +6,15 @@
 
 namespace {
 
-bool mayServe(const configuration &current, const service_config &service,
-              const target_config &target)
+// The share of the target's version, 0 if the target may serve nothing.
+int shareOf(const configuration &current, const service_config &service,
+            const target_config &target)
 {
     const version_config *version = service.findVersion(target.version);
-    return !target.leaving && !current.zonesOut.contains(target.availabilityZone) && version
-        && !version->blocked && version->sharePermille > 0;
+    if (target.leaving || current.zonesOut.contains(target.availabilityZone) || !version
+        || version->blocked)
+        return 0;
+    return version->sharePermille;
 }
 
 } // namespace
@@ -23,11 +26,15 @@
         for (const group_config &group : service.groups) {
             auto &candidates = m_candidates[name][group.name];
             for (const target_config &target : group.targets) {
-                if (!mayServe(*m_configuration, service, target))
+                const int share = shareOf(*m_configuration, service, target);
+                if (share <= 0)
                     continue;
-                const member *owner = ownerOf(view, name + "/" + target.name);
-                if (owner)
-                    candidates.push_back({ target.name, target.version, owner->name });
+                std::string key = name + "/" + target.name;
+                const member *owner = ownerOf(view, key);
+                if (owner) {
+                    candidates.push_back({ target.name, std::move(key), target.version, share,
+                                           target.availabilityZone, owner->name });
+                }
             }
         }
     }
--- a/gooseberrymoor/target/target_codec.cpp
+++ b/gooseberrymoor/target/target_codec.cpp
@@ -76,7 +76,8 @@
                               { "snapshot", request.snapshot },
                               { "idempotent", request.idempotent },
                               { "timeout_ms", timeout.count() },
-                              { "body", request.body } };
+                              { "body", request.body },
+                              { "route", request.route } };
     return { "POST", "/leaf", json::serialize(body) };
 }
 
