--- a/gooseberrymoor/query/query_history_test.cpp
+++ b/gooseberrymoor/query/query_history_test.cpp
@@ -373,7 +373,7 @@
                 wanted.push_back(shard);
         }
         std::ranges::sort(wanted);
-        wanted.erase(std::ranges::unique(wanted).begin(), wanted.end());
+        wanted.erase(std::unique(wanted.begin(), wanted.end()), wanted.end());
         return wanted;
     }
 
--- a/gooseberrymoor/query/query_run.cpp
+++ b/gooseberrymoor/query/query_run.cpp
@@ -191,8 +191,7 @@
         return wanted;
     }
     std::ranges::sort(wanted);
-    const auto repeated = std::ranges::unique(wanted);
-    wanted.erase(repeated.begin(), repeated.end());
+    wanted.erase(std::unique(wanted.begin(), wanted.end()), wanted.end());
     return wanted;
 }
 
--- a/gooseberrymoor/query/snapshot_preference.cpp
+++ b/gooseberrymoor/query/snapshot_preference.cpp
@@ -3,7 +3,6 @@
 #include "gooseberrymoor/configuration/service_config.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace gooseberrymoor {
 
@@ -38,12 +37,13 @@
                                                         const std::string &missing,
                                                         time_point now) const
 {
-    for (const snapshot_config &snapshot : std::views::reverse(service.snapshots)) {
-        if (snapshot.id != missing && hasAll(snapshot, shards)
-            && !isMissing(service.name, snapshot.id, now))
-            return &snapshot;
-    }
-    return nullptr;
+    const auto mayBeThere = [&](const snapshot_config &snapshot) {
+        return snapshot.id != missing && hasAll(snapshot, shards)
+            && !isMissing(service.name, snapshot.id, now);
+    };
+    const auto newest
+        = std::find_if(service.snapshots.rbegin(), service.snapshots.rend(), mayBeThere);
+    return newest == service.snapshots.rend() ? nullptr : &*newest;
 }
 
 void snapshot_preference::markMissing(const std::string &service, const std::string &snapshot,
