End leaf requests before their query, and show that a closed connection ends one

Cause: an owner whose queue a leaf request waited in to the end says so at the deadline, when the query has just given it up as may_have_run. And nothing showed that a caller's close is seen.

Ruled out: asking at the deadline whether the request still waits in the link's buffer; its bytes are queued in one block with others and would still go out.

Change: a leaf request's timeout ends up to 5 ms, and at most a twentieth, before the query's deadline, so that "not run" comes in time. A test of the HTTP server: a client's close reaches the handler, an early next request does not.

--- a/gooseberrymoor/http/http_test.cpp
+++ b/gooseberrymoor/http/http_test.cpp
@@ -1,4 +1,6 @@
+#include "gooseberrymoor/base/cancellation.h"
 #include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/base/signal.h"
 #include "gooseberrymoor/base/task.h"
 #include "gooseberrymoor/http/http_connection.h"
 #include "gooseberrymoor/http/http_handler.h"
@@ -111,3 +113,81 @@
         asio::detached);
     context.run();
 }
+
+namespace {
+
+const endpoint waiting_address { "127.0.0.1", 22020 };
+
+// Answers when the client has closed its connection, or after a time without that.
+class waiting_handler : public http_handler
+{
+public:
+    explicit waiting_handler(asio::any_io_executor executor) : m_wake(std::move(executor)) { }
+
+    asio::awaitable<http_reply> handle(http_request request) override
+    {
+        const auto abandoned = request.abandoned;
+        abandoned->setListener([this] { m_wake.notify(); });
+        const time_point until = millis_clock::now() + longestWait;
+        started = true;
+        while (!abandoned->isCancelled() && millis_clock::now() < until)
+            co_await m_wake.wait(until);
+        abandoned->setListener({});
+        sawClose = abandoned->isCancelled();
+        ended = true;
+        co_return http_reply(200, "{}");
+    }
+    http_reply refuse(error_kind kind) override { return toReply({ kind, verdict::not_run, "" }); }
+
+    duration longestWait = patience;
+    bool started = false;
+    bool ended = false;
+    bool sawClose = false;
+
+private:
+    gooseberrymoor::signal m_wake;
+};
+
+template <typename Condition> bool runUntil(asio::io_context &context, Condition done)
+{
+    const time_point limit = millis_clock::now() + patience;
+    while (!done() && millis_clock::now() < limit)
+        context.run_one_for(duration(20));
+    return done();
+}
+
+} // namespace
+
+TEST_CASE("A client waits for an answer that takes its time")
+{
+    asio::io_context context;
+    counters events;
+    waiting_handler handler(context.get_executor());
+    http_server server(context.get_executor(), handler, events, small_body);
+    REQUIRE(server.start(waiting_address));
+    asio::ip::tcp::socket client(context);
+    client.connect({ asio::ip::make_address(waiting_address.address), waiting_address.port });
+    const std::string request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+
+    SUBCASE("and closes its connection, which ends the work")
+    {
+        asio::write(client, asio::buffer(request));
+        REQUIRE(runUntil(context, [&] { return handler.started; }));
+        client.close();
+        REQUIRE(runUntil(context, [&] { return handler.ended; }));
+        CHECK(handler.sawClose);
+    }
+    SUBCASE("and sends its next request early, which ends nothing")
+    {
+        handler.longestWait = duration(100);
+        asio::write(client, asio::buffer(request + request));
+        REQUIRE(runUntil(context, [&] { return handler.ended; }));
+        CHECK(!handler.sawClose);
+        handler.ended = false;
+        REQUIRE(runUntil(context, [&] { return handler.ended; }));
+        CHECK(!handler.sawClose);
+    }
+    server.stopAccepting();
+    client.close();
+    context.run_for(duration(50));
+}
--- a/gooseberrymoor/query/query_run.cpp
+++ b/gooseberrymoor/query/query_run.cpp
@@ -17,6 +17,8 @@
 
 constexpr duration shortest_recheck { 2 }; // of a hedge that the budget did not allow
 constexpr duration retry_pause { 20 }; // after all targets of a group have refused
+constexpr duration longest_margin { 5 }; // for an owner's word that a request has not run
+constexpr int margin_divisor = 20; // the margin is at most this part of the time left
 constexpr std::size_t missing_divisor = 20; // one shard in so many may lack the snapshot
 
 // Whether another target may answer where one gave `kind`.
@@ -36,6 +38,13 @@
     return elsewhere && response.outcome == verdict::not_run;
 }
 
+// The time that a leaf request may take when `left` is left. It ends before the query does, so that
+// an owner in whose queue it waited can still say that it has not run.
+duration leafTimeout(duration left)
+{
+    return left - std::min(left / margin_divisor, longest_margin);
+}
+
 } // namespace
 
 query_run::query_run(query_request request, std::shared_ptr<const routing_table> routes,
@@ -235,7 +244,7 @@
     call.request.shard = shard.name;
     call.request.snapshot = m_snapshot;
     call.request.idempotent = m_request.idempotent;
-    call.request.timeout = m_request.deadline - now;
+    call.request.timeout = leafTimeout(m_request.deadline - now);
     call.request.body = m_request.body;
     call.request.route = m_request.route;
     return call;
--- a/gooseberrymoor/query/query_run_test.cpp
+++ b/gooseberrymoor/query/query_run_test.cpp
@@ -86,6 +86,7 @@
     const query_actions first = run.start(start);
     REQUIRE(first.sends.size() == 2);
     CHECK(first.sends[0].request.snapshot == "new");
+    CHECK(first.sends[0].request.timeout < deadline - start);
 
     SUBCASE("and is whole when all have answered")
     {
@@ -142,6 +143,16 @@
             CHECK(run.answer().results[0].body == "hedge");
         }
     }
+    SUBCASE("and knows that a shard has not run if its owner says so in time")
+    {
+        run.onResponse(1, answered("a"), start);
+        run.onResponse(2, failed(error_kind::deadline_passed, verdict::not_run),
+                       start + first.sends[1].request.timeout);
+        REQUIRE(run.isFinished());
+        REQUIRE(run.answer().uncovered.size() == 1);
+        CHECK(run.answer().uncovered[0].reason == error_kind::deadline_passed);
+        CHECK(run.answer().uncovered[0].outcome == verdict::not_run);
+    }
     SUBCASE("and says at its deadline what is missing")
     {
         run.onResponse(1, answered("a"), start);
--- /dev/null
+++ b/gooseberrymoor/query/query_tail_benchmark.cpp
@@ -0,0 +1,387 @@
+// Prints how long queries take in virtual time under stragglers, for hedge policies and selectors
+// at one budget for extra load. Usage: query_tail_benchmark [SEEDS] [QUERIES]
+
+#include "gooseberrymoor/query/extra_budget.h"
+#include "gooseberrymoor/query/fixed_hedge_policy.h"
+#include "gooseberrymoor/query/least_outstanding_selector.h"
+#include "gooseberrymoor/query/quantile_hedge_policy.h"
+#include "gooseberrymoor/query/query_run.h"
+#include "gooseberrymoor/query/round_robin_selector.h"
+#include "gooseberrymoor/query/snapshot_preference.h"
+#include "gooseberrymoor/query/two_choice_selector.h"
+
+#include "gooseberrymoor/base/name_table.h"
+#include "gooseberrymoor/membership/cell_view.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+
+using namespace gooseberrymoor;
+
+namespace {
+
+constexpr int targets_per_group = 3;
+constexpr int slots = 4;
+constexpr int budget_percent = 5;
+constexpr double mean_service_ms = 8;
+constexpr double spread = 0.4; // of the logarithm of the service time
+constexpr double straggler_share = 0.02;
+constexpr double straggler_factor = 10;
+constexpr double slow_target_factor = 5;
+constexpr double utilization = 0.35; // of the slots of the targets that are not slow
+constexpr duration timeout { 300 };
+constexpr int default_seeds = 10;
+constexpr int default_queries = 1000;
+
+enum class hedge_kind {
+    none,
+    fixed,
+    quantile,
+};
+
+constexpr name_table<hedge_kind, 3> names(hedge_kind)
+{
+    return { { { hedge_kind::none, "none" },
+               { hedge_kind::fixed, "fixed 50 ms" },
+               { hedge_kind::quantile, "quantile" } } };
+}
+
+enum class selector_kind {
+    round_robin,
+    least_outstanding,
+    two_choice,
+};
+
+constexpr name_table<selector_kind, 3> names(selector_kind)
+{
+    return { { { selector_kind::round_robin, "round robin" },
+               { selector_kind::least_outstanding, "least outstanding" },
+               { selector_kind::two_choice, "two choices" } } };
+}
+
+struct variant
+{
+    hedge_kind hedge;
+    selector_kind selector;
+};
+
+struct totals
+{
+    std::vector<std::int64_t> latencies; // of all queries; a query that is not whole counts full
+    std::int64_t shards = 0;
+    std::int64_t covered = 0;
+    std::int64_t firsts = 0;
+    std::int64_t extra = 0;
+};
+
+std::unique_ptr<leaf_selector> makeSelector(selector_kind kind, std::uint64_t seed)
+{
+    switch (kind) {
+    case selector_kind::round_robin:
+        return std::make_unique<round_robin_selector>();
+    case selector_kind::least_outstanding:
+        return std::make_unique<least_outstanding_selector>(seed);
+    default:
+        return std::make_unique<two_choice_selector>("kl-0", seed);
+    }
+}
+
+std::unique_ptr<hedge_policy> makeHedging(hedge_kind kind)
+{
+    switch (kind) {
+    case hedge_kind::none:
+        return std::make_unique<fixed_hedge_policy>(std::nullopt);
+    case hedge_kind::fixed:
+        return std::make_unique<fixed_hedge_policy>(duration(50));
+    default:
+        return std::make_unique<quantile_hedge_policy>(budget_percent);
+    }
+}
+
+std::shared_ptr<const routing_table> routesFor(int groups)
+{
+    auto current = std::make_shared<configuration>();
+    service_config service;
+    service.name = "standings";
+    snapshot_config snapshot { "s", {} };
+    for (int g = 0; g < groups; ++g) {
+        group_config group { "g" + std::to_string(g), {} };
+        for (int t = 0; t < targets_per_group; ++t) {
+            group.targets.push_back({ std::to_string(g) + "-" + std::to_string(t),
+                                      { "127.0.0.1", 9001 },
+                                      "kl-" + std::to_string(t),
+                                      "v1",
+                                      false });
+        }
+        snapshot.groupOfShard["h" + std::to_string(g)] = group.name;
+        service.groups.push_back(std::move(group));
+    }
+    service.snapshots.push_back(std::move(snapshot));
+    service.versions = { { "v1", 1000, false } };
+    current->services["standings"] = std::move(service);
+    cell_view view;
+    view.put({ "n1", 1, "kl-0", { "127.0.0.1", 7001 }, { "127.0.0.1", 8001 }, false });
+    return std::make_shared<routing_table>(current, view);
+}
+
+// Targets with slots and a queue, one of them slow, some answers straggling. The time of a leaf
+// request is drawn when it begins to run; a cancelled one leaves its queue or frees its slot.
+class simulation
+{
+public:
+    simulation(int groups, variant choice, std::uint64_t seed)
+        : m_groups(groups), m_routes(routesFor(groups)),
+          m_selector(makeSelector(choice.selector, seed)), m_hedging(makeHedging(choice.hedge)),
+          m_budget(choice.hedge == hedge_kind::none ? 0 : budget_percent), m_policyRandom(seed),
+          m_arrivals(seed + 1), m_service(seed + 2)
+    {
+    }
+
+    void play(int queries, totals &into)
+    {
+        const double requestsPerMs
+            = utilization * (targets_per_group - 1.0 / m_groups) * slots / mean_service_ms;
+        std::exponential_distribution<double> gap(requestsPerMs);
+        double at = 1000;
+        for (int i = 0; i < queries; ++i) {
+            at += gap(m_arrivals);
+            schedule(time_point(duration(static_cast<std::int64_t>(at))),
+                     [this, &into] { ask(into); });
+        }
+        while (!m_events.empty()) {
+            const event next = m_events.top();
+            m_events.pop();
+            m_now = next.at;
+            next.action();
+        }
+    }
+
+private:
+    struct event
+    {
+        time_point at;
+        std::uint64_t order;
+        std::function<void()> action;
+        bool operator<(const event &other) const
+        {
+            return std::tie(other.at, other.order) < std::tie(at, order);
+        }
+    };
+    struct live_query
+    {
+        std::unique_ptr<query_run> run;
+        time_point began;
+        time_point wakeAt = time_point::max();
+    };
+    struct leaf_work
+    {
+        int query;
+        int attempt;
+        std::string target;
+        bool running = false;
+        bool over = false;
+    };
+    struct target_state
+    {
+        int running = 0;
+        std::deque<std::shared_ptr<leaf_work>> queue;
+    };
+
+    void schedule(time_point at, std::function<void()> action)
+    {
+        m_events.push({ at, ++m_order, std::move(action) });
+    }
+
+    void ask(totals &into)
+    {
+        query_request request;
+        request.service = "standings";
+        request.deadline = m_now + timeout;
+        const int id = ++m_lastQuery;
+        live_query &query = m_queries[id];
+        query.run = std::make_unique<query_run>(
+            request, m_routes,
+            query_policies { *m_selector, *m_hedging, m_budget, m_snapshots, m_policyRandom });
+        query.began = m_now;
+        m_totals = &into;
+        perform(id, query.run->start(m_now));
+    }
+
+    void perform(int id, query_actions actions)
+    {
+        for (const int attempt : actions.cancels)
+            cancel(id, attempt);
+        for (const leaf_call &call : actions.sends) {
+            auto work
+                = std::make_shared<leaf_work>(leaf_work { id, call.attempt, call.request.target });
+            m_works[{ id, call.attempt }] = work;
+            target_state &target = m_targets[work->target];
+            target.queue.push_back(work);
+            startNext(target);
+        }
+        live_query &query = m_queries.at(id);
+        if (query.run->isFinished()) {
+            finish(id);
+            return;
+        }
+        const time_point wake = query.run->nextWake();
+        if (wake < query.wakeAt) {
+            query.wakeAt = wake;
+            schedule(wake, [this, id, wake] { onTime(id, wake); });
+        }
+    }
+
+    void onTime(int id, time_point wake)
+    {
+        const auto found = m_queries.find(id);
+        if (found == m_queries.end() || found->second.wakeAt != wake)
+            return;
+        found->second.wakeAt = time_point::max();
+        perform(id, found->second.run->onTime(m_now));
+    }
+
+    void startNext(target_state &target)
+    {
+        while (target.running < slots && !target.queue.empty()) {
+            const auto work = target.queue.front();
+            target.queue.pop_front();
+            work->running = true;
+            ++target.running;
+            schedule(m_now + drawTime(work->target), [this, work] { answer(work); });
+        }
+    }
+
+    duration drawTime(const std::string &target)
+    {
+        std::lognormal_distribution<double> body(std::log(mean_service_ms) - spread * spread / 2,
+                                                 spread);
+        std::uniform_real_distribution<double> unit(0, 1);
+        double millis = body(m_service);
+        if (unit(m_service) < straggler_share)
+            millis *= straggler_factor;
+        if (target == "0-0")
+            millis *= slow_target_factor;
+        return duration(std::max<std::int64_t>(1, std::llround(millis)));
+    }
+
+    void answer(const std::shared_ptr<leaf_work> &work)
+    {
+        if (work->over)
+            return;
+        release(*work);
+        leaf_response response;
+        response.outcome = verdict::completed;
+        response.snapshot = "s";
+        response.queued = static_cast<int>(m_targets[work->target].queue.size());
+        m_works.erase({ work->query, work->attempt });
+        const auto found = m_queries.find(work->query);
+        if (found != m_queries.end())
+            perform(work->query, found->second.run->onResponse(work->attempt, response, m_now));
+    }
+
+    void cancel(int query, int attempt)
+    {
+        const auto found = m_works.find({ query, attempt });
+        if (found == m_works.end())
+            return;
+        const auto work = found->second;
+        m_works.erase(found);
+        if (work->running)
+            release(*work);
+        else
+            std::erase(m_targets[work->target].queue, work);
+        work->over = true;
+    }
+
+    void release(leaf_work &work)
+    {
+        work.over = true;
+        target_state &target = m_targets[work.target];
+        --target.running;
+        startNext(target);
+    }
+
+    void finish(int id)
+    {
+        const live_query &query = m_queries.at(id);
+        const query_answer answer = query.run->answer();
+        const duration took = m_now - query.began;
+        m_totals->latencies.push_back(answer.uncovered.empty() ? took.count() : timeout.count());
+        m_totals->shards += static_cast<std::int64_t>(answer.shards());
+        m_totals->covered += static_cast<std::int64_t>(answer.results.size());
+        m_totals->firsts += answer.leafRequests - answer.extraRequests;
+        m_totals->extra += answer.extraRequests;
+        m_queries.erase(id);
+    }
+
+    int m_groups;
+    std::shared_ptr<const routing_table> m_routes;
+    std::unique_ptr<leaf_selector> m_selector;
+    std::unique_ptr<hedge_policy> m_hedging;
+    extra_budget m_budget;
+    snapshot_preference m_snapshots;
+    std::mt19937_64 m_policyRandom;
+    std::mt19937_64 m_arrivals;
+    std::mt19937_64 m_service;
+    std::priority_queue<event> m_events;
+    std::map<int, live_query> m_queries;
+    std::map<std::pair<int, int>, std::shared_ptr<leaf_work>> m_works;
+    std::map<std::string, target_state> m_targets;
+    totals *m_totals = nullptr;
+    time_point m_now {};
+    std::uint64_t m_order = 0;
+    int m_lastQuery = 0;
+};
+
+std::int64_t quantileOf(const std::vector<std::int64_t> &sorted, double quantile)
+{
+    const double position = quantile * static_cast<double>(sorted.size());
+    const auto index = static_cast<std::size_t>(std::ceil(position));
+    return sorted[std::clamp<std::size_t>(index, 1, sorted.size()) - 1];
+}
+
+void printRow(int groups, variant choice, totals &result)
+{
+    std::ranges::sort(result.latencies);
+    std::printf("| %d | %s | %s | %lld | %lld | %lld | %.3f%% | %.2f%% |\n", groups,
+                std::string(nameOf(choice.selector)).c_str(),
+                std::string(nameOf(choice.hedge)).c_str(),
+                static_cast<long long>(quantileOf(result.latencies, 0.5)),
+                static_cast<long long>(quantileOf(result.latencies, 0.99)),
+                static_cast<long long>(quantileOf(result.latencies, 0.999)),
+                100.0 * static_cast<double>(result.covered) / static_cast<double>(result.shards),
+                100.0 * static_cast<double>(result.extra) / static_cast<double>(result.firsts));
+}
+
+} // namespace
+
+int main(int argc, char *argv[])
+{
+    const int seeds = argc > 1 ? std::atoi(argv[1]) : default_seeds;
+    const int queries = argc > 2 ? std::atoi(argv[2]) : default_queries;
+    std::printf("| shards | selector | hedge | p50 ms | p99 ms | p99.9 ms | coverage | extra |\n"
+                "|---|---|---|---|---|---|---|---|\n");
+    for (const int groups : { 10, 40, 160 }) {
+        for (const selector_kind selector :
+             { selector_kind::round_robin, selector_kind::least_outstanding,
+               selector_kind::two_choice }) {
+            for (const hedge_kind hedge :
+                 { hedge_kind::none, hedge_kind::fixed, hedge_kind::quantile }) {
+                totals result;
+                const variant choice { hedge, selector };
+                for (int seed = 1; seed <= seeds; ++seed) {
+                    simulation run(groups, choice, static_cast<std::uint64_t>(seed) * 1000);
+                    run.play(queries, result);
+                }
+                printRow(groups, choice, result);
+            }
+        }
+    }
+    return 0;
+}
