--- /dev/null
+++ b/gooseberrymoor/admission/offer_result.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "gooseberrymoor/base/name_table.h"
+
+namespace gooseberrymoor {
+
+// What a target's admission says to a new leaf request.
+enum class offer_result {
+    queued,
+    late, // its deadline has passed
+    queue_full,
+    too_long_a_wait, // it could not be answered by its deadline
+    draining, // the target takes no new work
+};
+
+constexpr name_table<offer_result, 5> names(offer_result)
+{
+    return { { { offer_result::queued, "queued" },
+               { offer_result::late, "late" },
+               { offer_result::queue_full, "queue_full" },
+               { offer_result::too_long_a_wait, "too_long_a_wait" },
+               { offer_result::draining, "draining" } } };
+}
+
+} // namespace gooseberrymoor
--- a/gooseberrymoor/decisions.h
+++ b/gooseberrymoor/decisions.h
@@ -4,6 +4,7 @@
 // Each is plain state: it takes an event and the present time and returns what is to be done.
 
 #include "gooseberrymoor/admission/target_admission.h" // what one target may be given
+#include "gooseberrymoor/admission/target_status.h" // what a target says of itself
 #include "gooseberrymoor/configuration/configuration_holder.h" // which configuration is in force
 #include "gooseberrymoor/entry/entry_admission.h" // whether a caller's request is taken
 #include "gooseberrymoor/entry/entry_directory.h" // which entries callers are told of
--- a/gooseberrymoor/http/http_connection.cpp
+++ b/gooseberrymoor/http/http_connection.cpp
@@ -6,6 +6,10 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <sys/socket.h>
+
+#include <cerrno>
+
 namespace gooseberrymoor {
 
 namespace {
@@ -79,7 +83,8 @@
         = co_await beast::http::async_write(socket, message, as_result);
     if (writeError) {
         close();
-        co_return tl::unexpected(failureOf(verdict::may_have_run, limit.hasPassed(), writeError));
+        const verdict outcome = written == 0 ? verdict::not_run : verdict::may_have_run;
+        co_return tl::unexpected(failureOf(outcome, limit.hasPassed(), writeError));
     }
     beast::http::response_parser<beast::http::string_body> parser;
     parser.body_limit(most_reply_bytes);
@@ -101,6 +106,16 @@
     return m_implementation->socket.is_open();
 }
 
+bool http_connection::isUsable() const
+{
+    if (!isOpen() || m_implementation->buffer.size() > 0)
+        return false;
+    char next = 0;
+    const auto size = ::recv(m_implementation->socket.native_handle(), &next, sizeof next,
+                             MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void http_connection::close()
 {
     boost::system::error_code ignored;
--- a/gooseberrymoor/http/http_connection.h
+++ b/gooseberrymoor/http/http_connection.h
@@ -32,6 +32,9 @@
     // Whether the next exchange can use the connection.
     bool isOpen() const;
 
+    // Whether it is open and the server has neither closed it nor sent what nobody asked for.
+    bool isUsable() const;
+
     // Closes the connection; a waiting exchange fails.
     void close();
 
--- a/gooseberrymoor/node/node.cpp
+++ b/gooseberrymoor/node/node.cpp
@@ -88,6 +88,7 @@
     co_await waitUntilIdle(millis_clock::now() + m_settings.maxTimeout + store_patience);
     co_await m_membership.leave(millis_clock::now() + store_patience);
     m_stopped = true;
+    m_owner.stop();
     m_follower.stop();
     m_membership.stop();
     m_network.stop();
--- /dev/null
+++ b/gooseberrymoor/target/control_connection.cpp
@@ -0,0 +1,157 @@
+#include "gooseberrymoor/target/control_connection.h"
+
+#include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/base/task.h"
+#include "gooseberrymoor/http/http_connection.h"
+#include "gooseberrymoor/target/connection_budget.h"
+#include "gooseberrymoor/target/control_listener.h"
+#include "gooseberrymoor/target/target_codec.h"
+
+namespace gooseberrymoor {
+
+namespace {
+
+constexpr duration report_period { 2500 };
+constexpr int report_jitter_percent = 20;
+constexpr duration exchange_timeout { 1000 };
+constexpr duration retry_pause { 200 }; // after a connection that could not be opened
+constexpr duration silent_close { 10'000 }; // until a target has closed a connection gone silent
+constexpr std::size_t most_cancellations = 256; // that wait
+
+} // namespace
+
+control_connection::control_connection(asio::any_io_executor executor, endpoint target,
+                                       control_listener &listener, connection_budget &budget,
+                                       counters &events)
+    : m_executor(executor), m_target(std::move(target)), m_listener(listener), m_budget(budget),
+      m_events(events), m_wake(executor), m_random(std::random_device {}())
+{
+}
+
+void control_connection::start(std::shared_ptr<void> keepAlive)
+{
+    m_isStopping = false;
+    if (m_isRunning)
+        return;
+    m_isRunning = true;
+    m_reportAt = nextReport();
+    startTask(m_executor, m_events, "target_control", run(std::move(keepAlive)));
+}
+
+void control_connection::stop()
+{
+    m_isStopping = true;
+    m_wake.notify();
+}
+
+void control_connection::cancel(std::uint64_t which, std::string id, time_point until)
+{
+    if (!m_isRunning || m_cancellations.size() >= most_cancellations) {
+        m_events.add("target_cancels_dropped");
+        return;
+    }
+    m_cancellations.push_back({ which, std::move(id), until });
+    m_wake.notify();
+}
+
+asio::awaitable<void> control_connection::run(std::shared_ptr<void> keepAlive)
+{
+    http_connection connection(m_executor);
+    while (!m_isStopping || !m_cancellations.empty()) {
+        if (m_cancellations.empty() && millis_clock::now() < m_reportAt) {
+            co_await m_wake.wait(m_reportAt);
+            continue;
+        }
+        co_await work(connection);
+    }
+    close(connection, duration(0));
+    m_isRunning = false;
+    keepAlive.reset();
+}
+
+asio::awaitable<void> control_connection::work(http_connection &connection)
+{
+    if (!connection.isUsable()) {
+        const bool opened = co_await open(connection);
+        if (!opened) {
+            co_await m_wake.wait(millis_clock::now() + retry_pause);
+            co_return;
+        }
+    }
+    if (!m_cancellations.empty())
+        co_await cancelFirst(connection);
+    else if (!m_isStopping)
+        co_await askHealth(connection);
+}
+
+asio::awaitable<bool> control_connection::open(http_connection &connection)
+{
+    close(connection, duration(0));
+    const time_point now = millis_clock::now();
+    std::erase_if(m_cancellations, [now](const cancellation &each) { return each.until <= now; });
+    if (!m_budget.mayOpenControl(now)) {
+        m_events.add("target_control_without_connection");
+        m_reportAt = nextReport();
+        co_return false;
+    }
+    m_isCounted = true;
+    m_budget.onControlOpened();
+    const auto opened = co_await connection.connect(m_target, now + exchange_timeout);
+    if (opened)
+        co_return true;
+    close(connection, duration(0));
+    m_reportAt = nextReport();
+    m_events.add("target_control_connect_failed");
+    m_listener.onUnreachable();
+    co_return false;
+}
+
+asio::awaitable<void> control_connection::cancelFirst(http_connection &connection)
+{
+    const cancellation first = std::move(m_cancellations.front());
+    m_cancellations.pop_front();
+    const time_point now = millis_clock::now();
+    if (first.until <= now)
+        co_return;
+    m_events.add("target_cancels");
+    const time_point limit = std::min(first.until, now + exchange_timeout);
+    const auto reply = co_await connection.exchange(encodeTargetCancel(first.id), limit);
+    if (!reply) {
+        close(connection, reply.error().timedOut ? silent_close : duration(0));
+        co_return;
+    }
+    if (isStopConfirmed(*reply))
+        m_listener.onStopped(first.which);
+}
+
+asio::awaitable<void> control_connection::askHealth(http_connection &connection)
+{
+    m_reportAt = nextReport();
+    const time_point limit = millis_clock::now() + exchange_timeout;
+    const auto reply = co_await connection.exchange(encodeTargetHealth(), limit);
+    if (!reply) {
+        m_events.add("target_health_missed");
+        close(connection, reply.error().timedOut ? silent_close : duration(0));
+        co_return;
+    }
+    const auto status = decodeTargetHealth(*reply);
+    if (status)
+        m_listener.onHealth(*status);
+}
+
+void control_connection::close(http_connection &connection, duration closedWithin)
+{
+    connection.close();
+    const time_point now = millis_clock::now();
+    if (std::exchange(m_isCounted, false))
+        m_budget.onControlClosed(now + closedWithin, now);
+}
+
+time_point control_connection::nextReport()
+{
+    std::uniform_int_distribution<int> percent(100 - report_jitter_percent,
+                                               100 + report_jitter_percent);
+    return millis_clock::now() + report_period * percent(m_random) / 100;
+}
+
+} // namespace gooseberrymoor
--- a/gooseberrymoor/target/target_codec.cpp
+++ b/gooseberrymoor/target/target_codec.cpp
@@ -22,31 +22,56 @@
     return value && value->is_string() ? std::string(value->as_string()) : std::string();
 }
 
-bool flagOf(const json::object &from, const char *key)
+std::optional<bool> flagOf(const json::object &from, const char *key)
 {
     const json::value *value = from.if_contains(key);
-    return value && value->is_bool() && value->as_bool();
+    return value && value->is_bool() ? std::optional(value->as_bool()) : std::nullopt;
 }
 
-void readStatus(unsigned status, target_reply &reply)
+target_status statusOf(const json::object &from)
+{
+    return { textOf(from, "instance"), flagOf(from, "cold"),
+             flagOf(from, "draining").value_or(false) };
+}
+
+std::optional<json::object> objectFrom(const http_reply &reply)
+{
+    boost::system::error_code error;
+    json::value document = json::parse(reply.body, error);
+    if (error || !document.is_object())
+        return std::nullopt;
+    return std::move(document.as_object());
+}
+
+// A target refuses before it runs anything.
+void readRefusal(const json::object &from, target_reply &reply)
+{
+    const bool isDraining = textOf(from, "error") == nameOf(error_kind::draining);
+    reply.result = isDraining ? leaf_result::drained : leaf_result::shed;
+    reply.error = isDraining ? error_kind::draining : error_kind::target_shed;
+    reply.outcome = verdict::not_run;
+}
+
+void readHttpStatus(unsigned status, const json::object &from, target_reply &reply)
 {
     switch (status) {
     case http_ok:
         return;
     case http_conflict:
+        reply.result = leaf_result::failed;
         reply.error = error_kind::snapshot_unavailable;
         reply.outcome = verdict::not_run;
         return;
-    case http_unavailable: // a target sheds before it runs anything
-        reply.result = leaf_result::shed;
-        reply.error = error_kind::target_shed;
-        reply.outcome = verdict::not_run;
+    case http_unavailable:
+        readRefusal(from, reply);
         return;
     case http_cancelled:
+        reply.result = leaf_result::cancelled;
         reply.error = error_kind::cancelled;
         reply.outcome = verdict::may_have_run;
         return;
     case http_gateway_timeout:
+        reply.result = leaf_result::failed;
         reply.error = error_kind::timed_out;
         reply.outcome = verdict::may_have_run;
         return;
@@ -85,21 +110,37 @@
     return { "POST", "/cancel", json::serialize(json::object { { "request", id } }) };
 }
 
+bool isStopConfirmed(const http_reply &reply)
+{
+    const auto from = objectFrom(reply);
+    return reply.status == http_ok && from && flagOf(*from, "stopped") == true;
+}
+
+http_request encodeTargetHealth()
+{
+    return { "GET", "/health", "" };
+}
+
+std::optional<target_status> decodeTargetHealth(const http_reply &reply)
+{
+    const auto from = objectFrom(reply);
+    if (reply.status != http_ok || !from)
+        return std::nullopt;
+    return statusOf(*from);
+}
+
 target_reply decodeTargetReply(const leaf_request &request, const http_reply &reply)
 {
-    boost::system::error_code error;
-    const json::value document = json::parse(reply.body, error);
-    if (error || !document.is_object())
+    const auto from = objectFrom(reply);
+    if (!from)
         return malformedReply();
-    const json::object &from = document.as_object();
     target_reply result;
-    result.instance = textOf(from, "instance");
-    result.snapshot = textOf(from, "snapshot");
-    result.body = textOf(from, "body");
-    result.draining = flagOf(from, "draining");
-    readStatus(reply.status, result);
+    result.status = statusOf(*from);
+    result.snapshot = textOf(*from, "snapshot");
+    result.body = textOf(*from, "body");
+    readHttpStatus(reply.status, *from, result);
     const bool answered = result.error == error_kind::none;
-    if (answered && textOf(from, "request_shard") != request.shard)
+    if (answered && textOf(*from, "request_shard") != request.shard)
         return malformedReply();
     if (answered && result.snapshot != request.snapshot) {
         result.error = error_kind::snapshot_unavailable;
@@ -112,6 +153,8 @@
 {
     target_reply reply;
     reply.result = failure.timedOut ? leaf_result::timed_out : leaf_result::lost;
+    if (failure.outcome == verdict::not_run)
+        reply.result = leaf_result::unsent;
     reply.error = failure.timedOut ? error_kind::timed_out : error_kind::target_lost;
     reply.outcome = failure.outcome;
     return reply;
--- a/gooseberrymoor/target/target_codec.h
+++ b/gooseberrymoor/target/target_codec.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include "gooseberrymoor/base/millis_clock.h"
 #include "gooseberrymoor/http/http_failure.h"
 #include "gooseberrymoor/http/http_message.h"
 #include "gooseberrymoor/target/target_reply.h"
 
+#include <optional>
+
 namespace gooseberrymoor {
 
 struct leaf_request;
@@ -15,6 +18,15 @@
 // The HTTP request that asks a target to stop working on request `id`.
 http_request encodeTargetCancel(const std::string &id);
 
+// Whether `reply` to a cancellation says that the request runs no more and will not.
+bool isStopConfirmed(const http_reply &reply);
+
+// The HTTP request for a target's health report.
+http_request encodeTargetHealth();
+
+// Reads a health report; nothing if it is none.
+std::optional<target_status> decodeTargetHealth(const http_reply &reply);
+
 // Reads a target's answer to `request`.
 target_reply decodeTargetReply(const leaf_request &request, const http_reply &reply);
 
--- a/gooseberrymoor/target/target_codec_test.cpp
+++ b/gooseberrymoor/target/target_codec_test.cpp
@@ -40,9 +40,49 @@
         CHECK(reply.result == leaf_result::shed);
         CHECK(reply.outcome == verdict::not_run);
     }
+    SUBCASE("that it drains, so it has not run")
+    {
+        const auto reply
+            = decodeTargetReply(request, { 503, R"({"error":"draining","draining":true})" });
+        CHECK(reply.result == leaf_result::drained);
+        CHECK(reply.error == error_kind::draining);
+        CHECK(reply.outcome == verdict::not_run);
+        CHECK(reply.status.draining);
+    }
+    SUBCASE("that it was cancelled, so it runs no more")
+    {
+        const auto reply = decodeTargetReply(request, { 499, "{}" });
+        CHECK(reply.result == leaf_result::cancelled);
+        CHECK(reply.outcome == verdict::may_have_run);
+    }
+    SUBCASE("and says whether it is cold")
+    {
+        CHECK(decodeTargetReply(request, { 500, R"({"cold":true})" }).status.cold == true);
+        CHECK(decodeTargetReply(request, { 500, R"({"cold":false})" }).status.cold == false);
+        CHECK(!decodeTargetReply(request, { 500, "{}" }).status.cold);
+    }
     SUBCASE("with a failure, after which it may have run")
     {
         CHECK(decodeTargetReply(request, { 500, "{}" }).outcome == verdict::may_have_run);
         CHECK(decodeTargetReply(request, { 200, "nonsense" }).outcome == verdict::may_have_run);
     }
 }
+
+TEST_CASE("A target confirms that a request stopped only if it says so")
+{
+    CHECK(isStopConfirmed({ 200, R"({"stopped":true})" }));
+    CHECK(!isStopConfirmed({ 200, "{}" }));
+    CHECK(!isStopConfirmed({ 404, R"({"stopped":true})" }));
+}
+
+TEST_CASE("A target reports its health")
+{
+    const auto status
+        = decodeTargetHealth({ 200, R"({"instance":"i","cold":true,"draining":false})" });
+    REQUIRE(status);
+    CHECK(status->instance == "i");
+    CHECK(status->cold == true);
+    CHECK(!status->draining);
+    CHECK(!decodeTargetHealth({ 404, "{}" }));
+    CHECK(!decodeTargetHealth({ 200, "nonsense" }));
+}
--- a/gooseberrymoor/target/target_owner.cpp
+++ b/gooseberrymoor/target/target_owner.cpp
@@ -5,7 +5,7 @@
 #include "gooseberrymoor/configuration/configuration.h"
 #include "gooseberrymoor/target/target_pool.h"
 
-#include <set>
+#include <algorithm>
 
 namespace gooseberrymoor {
 
@@ -25,11 +25,14 @@
                 const std::string key = name + "/" + target.name;
                 if (!m_isOwner(key))
                     continue;
-                const auto found = m_pools.find(key);
-                const bool same = found != m_pools.end() && found->second->target() == target;
-                kept[key] = same ? found->second
-                                 : std::make_shared<target_pool>(m_executor, name, target,
-                                                                 service.limits, *this, m_events);
+                const auto pool = poolFor(name, target, service.limits);
+                const bool isOut
+                    = target.leaving || current.zonesOut.contains(target.availabilityZone);
+                if (isOut)
+                    pool->close(error_kind::draining);
+                else
+                    pool->open();
+                kept[key] = pool;
             }
         }
     }
@@ -37,10 +40,53 @@
         const auto found = kept.find(key);
         if (found != kept.end() && found->second == pool)
             continue;
-        pool->retire();
+        pool->close(m_isOwner(key) ? error_kind::draining : error_kind::not_owner);
         m_retired.push_back(pool);
     }
     m_pools = std::move(kept);
+    forgetIdle();
+}
+
+void target_owner::stop()
+{
+    for (const auto &[key, pool] : m_pools) {
+        pool->close(error_kind::draining);
+        m_retired.push_back(pool);
+    }
+    m_pools.clear();
+}
+
+std::shared_ptr<target_pool> target_owner::poolFor(const std::string &service,
+                                                   const target_config &target,
+                                                   const target_limits &limits)
+{
+    const std::string key = service + "/" + target.name;
+    const auto found = m_pools.find(key);
+    const bool isKept = found != m_pools.end() && found->second->target().address == target.address;
+    // What a retired pool has sent still counts when the target comes back.
+    const auto pool = isKept ? found->second : takeRetired(key, target.address);
+    if (!pool)
+        return std::make_shared<target_pool>(m_executor, service, target, limits, *this, m_events);
+    pool->configure(target, limits);
+    return pool;
+}
+
+std::shared_ptr<target_pool> target_owner::takeRetired(const std::string &key,
+                                                       const endpoint &address)
+{
+    const auto found = std::ranges::find_if(m_retired, [&](const auto &pool) {
+        return pool->key() == key && pool->target().address == address;
+    });
+    if (found == m_retired.end())
+        return nullptr;
+    const auto pool = *found;
+    m_retired.erase(found);
+    return pool;
+}
+
+void target_owner::forgetIdle()
+{
+    std::erase_if(m_retired, [](const auto &pool) { return pool->isIdle(); });
 }
 
 void target_owner::submit(const std::string &origin, leaf_request request,
@@ -73,18 +119,21 @@
 
 bool target_owner::mayStillRun(std::string_view target) const
 {
+    const time_point now = millis_clock::now();
     const auto found = m_pools.find(std::string(target));
-    if (found != m_pools.end() && !found->second->isIdle())
+    if (found != m_pools.end() && found->second->mayStillRun(now))
         return true;
-    return std::ranges::any_of(
-        m_retired, [target](const auto &pool) { return pool->key() == target && !pool->isIdle(); });
+    return std::ranges::any_of(m_retired, [&](const auto &pool) {
+        return pool->key() == target && pool->mayStillRun(now);
+    });
 }
 
 bool target_owner::isIdle()
 {
-    std::erase_if(m_retired, [](const auto &pool) { return pool->isIdle(); });
-    const bool poolsIdle
-        = std::ranges::all_of(m_pools, [](const auto &each) { return each.second->isIdle(); });
+    const time_point now = millis_clock::now();
+    std::erase_if(m_retired, [now](const auto &pool) { return !pool->mayStillRun(now); });
+    const bool poolsIdle = std::ranges::none_of(
+        m_pools, [now](const auto &each) { return each.second->mayStillRun(now); });
     return poolsIdle && m_retired.empty();
 }
 
--- a/gooseberrymoor/target/target_owner.h
+++ b/gooseberrymoor/target/target_owner.h
@@ -17,6 +17,9 @@
 class counters;
 class target_pool;
 struct configuration;
+struct endpoint;
+struct target_config;
+struct target_limits;
 
 // The targets that this node owns, each with its pool. Not thread-safe.
 class target_owner : public leaf_service, public owner_permission, public owned_work
@@ -29,9 +32,13 @@
     target_owner(asio::any_io_executor executor, ownership_test isOwner, counters &events);
     ~target_owner() override;
 
-    // Makes pools for the targets owned now under `current` and retires all others.
+    // Makes pools for the targets owned now under `current` and retires all others. Targets that
+    // are leaving or whose availability zone is out take no work until that ends.
     void update(const configuration &current);
 
+    // Retires all pools, so that their tasks end.
+    void stop();
+
     void submit(const std::string &origin, leaf_request request,
                 std::shared_ptr<leaf_reply_sink> sink) override;
     void cancel(const std::string &origin, std::uint64_t id) override;
@@ -46,6 +53,11 @@
     bool isIdle();
 
 private:
+    std::shared_ptr<target_pool> poolFor(const std::string &service, const target_config &target,
+                                         const target_limits &limits);
+    std::shared_ptr<target_pool> takeRetired(const std::string &key, const endpoint &address);
+    void forgetIdle();
+
     asio::any_io_executor m_executor;
     ownership_test m_isOwner;
     counters &m_events;
--- a/gooseberrymoor/target/target_reply.h
+++ b/gooseberrymoor/target/target_reply.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "gooseberrymoor/admission/target_admission.h"
+#include "gooseberrymoor/admission/leaf_result.h"
+#include "gooseberrymoor/admission/target_status.h"
 #include "gooseberrymoor/base/request_error.h"
 
 #include <string>
@@ -13,10 +14,9 @@
     leaf_result result = leaf_result::answered;
     error_kind error = error_kind::none;
     verdict outcome = verdict::completed;
-    std::string instance; // identity of the back-end process; empty if it said none
+    target_status status; // empty if it said nothing of itself
     std::string snapshot;
     std::string body;
-    bool draining = false;
 };
 
 } // namespace gooseberrymoor
