Give the target stand-in cold starts, faults and bad versions from settings

Cause: the stand-in had slots, a queue and a latency only, so cold starts, shedding, silent connections, lagging health and bad versions could not be shown over TCP. Ruled out: delays at accept for the cost of a connection (the server's accept loop is not the stand-in's); it holds up all answers instead. Change: a table of settings by name, read from the INI file and from POST /control; cold start with violations counted and a fall-over; drain, shed, cancellation, deadlines, restarts, lagging or lying health, silent connections, stragglers, bad versions by share, time, load and route; GET /account counts them. A cancellation is answered when the request runs no more, and remembered if it comes before the request. Conclusion: each fault can be switched on at run time; it has no test program of its own.

--- /dev/null
+++ b/testing/target_stand_in/target_account.cpp
@@ -0,0 +1,27 @@
+#include "target_account.h"
+
+#include <boost/json.hpp>
+
+namespace json = boost::json;
+
+std::string target_account::toJson(const std::string &instance) const
+{
+    json::object runs;
+    for (const auto &[body, count] : runsByBody)
+        runs[body] = count;
+    return json::serialize(json::object { { "instance", instance },
+                                          { "most_running", mostRunning },
+                                          { "most_at_once", mostAtOnce },
+                                          { "most_connections", mostConnections },
+                                          { "refused_connections", refusedConnections },
+                                          { "cold_violations", coldViolations },
+                                          { "served", served },
+                                          { "shed", shed },
+                                          { "drained", drained },
+                                          { "cancelled", cancelled },
+                                          { "expired", expired },
+                                          { "failed", failed },
+                                          { "silenced", silenced },
+                                          { "restarts", restarts },
+                                          { "runs", runs } });
+}
--- a/testing/target_stand_in/target_handler.cpp
+++ b/testing/target_stand_in/target_handler.cpp
@@ -2,26 +2,58 @@
 
 #include "gooseberrymoor/http/refusal.h"
 
-#include <random>
+#include <stdexcept>
 
 namespace json = boost::json;
 using namespace gooseberrymoor;
 
+namespace {
+
+constexpr unsigned http_ok = 200;
+constexpr unsigned http_bad_request = 400;
+constexpr unsigned http_not_found = 404;
+constexpr unsigned http_conflict = 409;
+constexpr unsigned http_cancelled = 499;
+constexpr unsigned http_failed = 500;
+constexpr unsigned http_unavailable = 503;
+constexpr unsigned http_gateway_timeout = 504;
+constexpr int permille = 1000;
+constexpr duration silence { 120'000 };
+constexpr std::size_t most_cancelled = 10'000; // remembered
+
+// Leaves the connection without an answer: the server closes it.
+struct connection_cut : std::runtime_error
+{
+    connection_cut() : std::runtime_error("connection cut") { }
+};
+
+std::string settingText(const json::value &value)
+{
+    return value.is_string() ? std::string(value.as_string()) : json::serialize(value);
+}
+
+} // namespace
+
 target_handler::target_handler(asio::any_io_executor executor, target_settings settings)
     : m_executor(executor), m_settings(std::move(settings)),
-      m_instance(std::to_string(std::random_device {}())), m_slotFree(executor),
-      m_cancelled(executor)
+      m_instance(std::to_string(std::random_device {}())),
+      m_random(static_cast<std::uint32_t>(m_settings.seed)), m_changed(executor)
 {
 }
 
 asio::awaitable<http_reply> target_handler::handle(http_request request)
 {
+    if (request.path == "/account")
+        co_return http_reply(http_ok, m_account.toJson(m_instance));
+    if (request.path == "/control")
+        co_return handleControl(request.body);
+    requireUp();
     if (request.path == "/leaf")
-        co_return co_await handleLeaf(request.body);
+        co_return co_await handleLeaf(readLeaf(request.body));
     if (request.path == "/cancel")
-        co_return handleCancel(request.body);
-    if (request.path == "/account")
-        co_return http_reply(200, account());
+        co_return co_await handleCancel(std::move(request.body));
+    if (request.path == "/health")
+        co_return health();
     co_return refuse(error_kind::bad_request);
 }
 
@@ -30,65 +62,279 @@
     return toReply({ kind, verdict::not_run, "" });
 }
 
-asio::awaitable<http_reply> target_handler::handleLeaf(const std::string &body)
+bool target_handler::openConnection()
+{
+    const time_point now = millis_clock::now();
+    const bool isFull = m_settings.connections > 0 && m_connections >= m_settings.connections;
+    if (isFull || now < m_goneUntil) {
+        ++m_account.refusedConnections;
+        return false;
+    }
+    ++m_connections;
+    m_account.mostConnections = std::max(m_account.mostConnections, m_connections);
+    m_heldUpUntil = std::max(m_heldUpUntil, now) + duration(m_settings.connectionCostMs);
+    return true;
+}
+
+void target_handler::closeConnection()
+{
+    --m_connections;
+}
+
+target_handler::leaf target_handler::readLeaf(const std::string &body)
+{
+    const json::object from = json::parse(body).as_object();
+    leaf request;
+    request.id = std::string(from.at("request").as_string());
+    request.shard = std::string(from.at("shard").as_string());
+    request.snapshot = std::string(from.at("snapshot").as_string());
+    request.body = std::string(from.at("body").as_string());
+    if (const json::value *route = from.if_contains("route"))
+        request.route = std::string(route->as_string());
+    request.isIdempotent = from.at("idempotent").as_bool();
+    request.deadline = millis_clock::now() + duration(from.at("timeout_ms").as_int64());
+    return request;
+}
+
+asio::awaitable<http_reply> target_handler::handleLeaf(leaf request)
 {
-    const json::object request = json::parse(body).as_object();
-    const std::string id(request.at("request").as_string());
-    const std::string shard(request.at("shard").as_string());
-    const std::string snapshot(request.at("snapshot").as_string());
-    const std::string text(request.at("body").as_string());
-    const time_point deadline = millis_clock::now() + duration(request.at("timeout_ms").as_int64());
-    if (!m_settings.snapshots.contains(snapshot))
-        co_return replyWith(409, { { "error", "snapshot_unavailable" } });
-    if (m_running >= m_settings.slots && m_waiting >= m_settings.queue) {
-        ++m_shed;
-        co_return replyWith(503, { { "error", "shed" } });
+    if (m_cancelledIds.contains(request.id))
+        co_return replyWith(http_cancelled, { { "error", "cancelled" } });
+    if (m_settings.draining != 0) {
+        ++m_account.drained;
+        co_return replyWith(http_unavailable, { { "error", "draining" } });
     }
+    if (!m_settings.snapshots.contains(request.snapshot))
+        co_return replyWith(http_conflict, { { "error", "snapshot_unavailable" } });
+    const bool isFull = m_running >= m_settings.slots && m_waiting >= m_settings.queue;
+    if (isFull || chance(m_settings.shedPermille)) {
+        ++m_account.shed;
+        co_return replyWith(http_unavailable, { { "error", "shed" } });
+    }
+    const bool isSilent = chance(m_settings.silentPermille);
+    if (isSilent)
+        ++m_account.silenced;
+    if (isSilent && m_settings.silentSwallows != 0)
+        co_await goSilent();
+    http_reply reply = co_await runLeaf(std::move(request));
+    if (isSilent)
+        co_await goSilent();
+    co_return reply;
+}
+
+asio::awaitable<http_reply> target_handler::runLeaf(leaf request)
+{
+    if (isCold() && m_running + m_waiting >= m_settings.coldSlots) {
+        ++m_account.coldViolations;
+        fallOver();
+        throw connection_cut();
+    }
+    m_coldStart.onRequest(millis_clock::now());
+    m_active.insert(request.id);
     ++m_waiting;
-    while (m_running >= m_settings.slots && millis_clock::now() < deadline)
-        co_await m_slotFree.wait(deadline);
+    m_account.mostAtOnce = std::max(m_account.mostAtOnce, m_running + m_waiting);
+    const int generation = m_generation;
+    co_await awaitSlot(request);
+    requireGeneration(generation);
     --m_waiting;
-    if (millis_clock::now() >= deadline)
-        co_return replyWith(504, { { "error", "deadline" } });
+    const bool isStopped = isCancelled(request) || isExpired(request);
+    if (!isStopped)
+        co_await work(request);
+    m_active.erase(request.id);
+    m_changed.notify();
+    co_return answer(request);
+}
+
+asio::awaitable<void> target_handler::work(leaf request)
+{
+    const int generation = m_generation;
+    const duration latency = latencyOf(request);
     ++m_running;
-    m_mostRunning = std::max(m_mostRunning, m_running);
-    if (!request.at("idempotent").as_bool())
-        ++m_runsByBody[text];
-    const time_point end = std::min(millis_clock::now() + m_settings.latency, deadline);
-    while (millis_clock::now() < end && !m_cancelledIds.contains(id))
-        co_await m_cancelled.wait(end);
+    m_account.mostRunning = std::max(m_account.mostRunning, m_running);
+    if (!request.isIdempotent)
+        ++m_account.runsByBody[request.body];
+    const time_point end = std::max(millis_clock::now(), m_heldUpUntil) + latency;
+    while (millis_clock::now() < end && generation == m_generation) {
+        if (isCancelled(request) || isExpired(request))
+            break;
+        co_await m_changed.wait(m_settings.deadlines != 0 ? std::min(end, request.deadline) : end);
+    }
+    requireGeneration(generation);
     --m_running;
-    m_slotFree.notify();
-    if (m_cancelledIds.erase(id) > 0)
-        co_return replyWith(499, { { "error", "cancelled" } });
-    ++m_served;
-    co_return replyWith(200,
-                        { { "request_shard", shard },
-                          { "snapshot", snapshot },
-                          { "body", shard + "@" + snapshot + ":" + text } });
 }
 
-http_reply target_handler::handleCancel(const std::string &body)
+http_reply target_handler::answer(const leaf &request)
+{
+    if (isCancelled(request)) {
+        ++m_account.cancelled;
+        return replyWith(http_cancelled, { { "error", "cancelled" } });
+    }
+    if (isExpired(request)) {
+        ++m_account.expired;
+        return replyWith(http_gateway_timeout, { { "error", "deadline" } });
+    }
+    m_coldStart.onServed();
+    if (isBadFor(request) && chance(m_settings.badFailurePermille)) {
+        ++m_account.failed;
+        return replyWith(http_failed, { { "error", "failed" } });
+    }
+    ++m_account.served;
+    const std::string text = request.shard + "@" + request.snapshot + ":" + request.body;
+    return replyWith(
+        http_ok,
+        { { "request_shard", request.shard }, { "snapshot", request.snapshot }, { "body", text } });
+}
+
+asio::awaitable<void> target_handler::awaitSlot(leaf request)
 {
-    m_cancelledIds.insert(std::string(json::parse(body).at("request").as_string()));
-    m_cancelled.notify();
-    return replyWith(200, {});
+    const int generation = m_generation;
+    while (m_running >= m_settings.slots && generation == m_generation) {
+        if (isCancelled(request) || isExpired(request))
+            co_return;
+        const bool isBounded = m_settings.deadlines != 0;
+        co_await m_changed.wait(isBounded ? request.deadline : time_point::max());
+    }
 }
 
-http_reply target_handler::replyWith(unsigned status, json::object body) const
+bool target_handler::isCancelled(const leaf &request) const
+{
+    return m_cancelledIds.contains(request.id);
+}
+
+bool target_handler::isExpired(const leaf &request) const
+{
+    return m_settings.deadlines != 0 && millis_clock::now() >= request.deadline;
+}
+
+void target_handler::requireGeneration(int generation) const
+{
+    if (generation != m_generation)
+        throw connection_cut();
+}
+
+// The connection carries nothing any more.
+asio::awaitable<void> target_handler::goSilent()
+{
+    const time_point until = millis_clock::now() + silence;
+    while (millis_clock::now() < until)
+        co_await m_changed.wait(until);
+    throw connection_cut();
+}
+
+asio::awaitable<http_reply> target_handler::handleCancel(std::string body)
+{
+    if (m_settings.cancellation == 0)
+        co_return replyWith(http_not_found, { { "error", "cancellation" } });
+    const std::string id(json::parse(body).at("request").as_string());
+    rememberCancelled(id);
+    m_changed.notify();
+    while (m_active.contains(id))
+        co_await m_changed.wait();
+    co_return replyWith(http_ok, { { "request", id }, { "stopped", true } });
+}
+
+http_reply target_handler::handleControl(const std::string &body)
+{
+    const json::value document = json::parse(body);
+    target_settings changed = m_settings;
+    for (const auto &[name, value] : document.as_object()) {
+        if (name == "restart" || name == "turn_cold")
+            continue;
+        if (!changed.set(name, settingText(value)))
+            return { http_bad_request, json::serialize(json::object { { "unknown", name } }) };
+    }
+    m_settings = changed;
+    if (document.as_object().contains("restart"))
+        restart();
+    if (document.as_object().contains("turn_cold"))
+        m_coldStart.begin();
+    if (document.as_object().contains("seed"))
+        m_random.seed(static_cast<std::uint32_t>(m_settings.seed));
+    m_changed.notify();
+    return { http_ok, "{}" };
+}
+
+http_reply target_handler::health()
+{
+    const bool lies = m_settings.healthLies != 0;
+    json::object report { { "instance", m_instance },
+                          { "draining", !lies && m_settings.draining != 0 },
+                          { "running", lies ? 0 : m_running },
+                          { "waiting", lies ? 0 : m_waiting } };
+    if (m_settings.tellsCold != 0)
+        report["cold"] = !lies && isCold();
+    return { http_ok,
+             m_healthHistory.exchange(json::serialize(report), millis_clock::now(),
+                                      duration(m_settings.healthLagMs)) };
+}
+
+http_reply target_handler::replyWith(unsigned status, json::object body)
 {
     body["instance"] = m_instance;
+    if (m_settings.tellsCold != 0)
+        body["cold"] = isCold();
+    if (m_settings.draining != 0)
+        body["draining"] = true;
     return { status, json::serialize(body) };
 }
 
-std::string target_handler::account() const
+void target_handler::requireUp() const
+{
+    if (millis_clock::now() < m_goneUntil)
+        throw connection_cut();
+}
+
+bool target_handler::isCold() const
+{
+    return m_coldStart.isCold(m_settings, millis_clock::now());
+}
+
+void target_handler::fallOver()
+{
+    m_goneUntil = millis_clock::now() + duration(m_settings.fallOverMs);
+    restart();
+}
+
+// What ran is lost with its connections.
+void target_handler::restart()
+{
+    ++m_account.restarts;
+    ++m_generation;
+    m_instance = std::to_string(std::random_device {}());
+    m_coldStart.begin();
+    m_running = 0;
+    m_waiting = 0;
+    m_active.clear();
+    m_changed.notify();
+}
+
+void target_handler::rememberCancelled(const std::string &id)
+{
+    if (!m_cancelledIds.insert(id).second)
+        return;
+    m_cancelledOrder.push_back(id);
+    if (m_cancelledOrder.size() <= most_cancelled)
+        return;
+    m_cancelledIds.erase(m_cancelledOrder.front());
+    m_cancelledOrder.pop_front();
+}
+
+bool target_handler::chance(int share)
+{
+    return share > 0 && std::uniform_int_distribution<int>(0, permille - 1)(m_random) < share;
+}
+
+bool target_handler::isBadFor(const leaf &request) const
+{
+    const bool isTime = m_account.served >= m_settings.badAfterRequests;
+    const bool isLoad = m_running >= m_settings.badAboveRunning;
+    const bool isRoute = m_settings.badRoute.empty() || m_settings.badRoute == request.route;
+    return isTime && isLoad && isRoute;
+}
+
+duration target_handler::latencyOf(const leaf &request)
 {
-    json::object runs;
-    for (const auto &[body, count] : m_runsByBody)
-        runs[body] = count;
-    return json::serialize(json::object { { "instance", m_instance },
-                                          { "most_running", m_mostRunning },
-                                          { "served", m_served },
-                                          { "shed", m_shed },
-                                          { "runs", runs } });
+    const bool straggles = chance(m_settings.stragglerPermille);
+    const int usual = straggles ? m_settings.stragglerMs : m_settings.latencyMs;
+    return duration(usual + (isBadFor(request) ? m_settings.badSlowdownMs : 0));
 }
--- a/testing/target_stand_in/target_handler.h
+++ b/testing/target_stand_in/target_handler.h
@@ -1,16 +1,22 @@
 #pragma once
 
+#include "cold_start.h"
 #include "gooseberrymoor/base/signal.h"
 #include "gooseberrymoor/http/http_handler.h"
+#include "health_history.h"
+#include "target_account.h"
 #include "target_settings.h"
 
 #include <boost/json.hpp>
 
-#include <map>
+#include <deque>
+#include <random>
 #include <set>
 #include <string>
 
 // Answers leaf requests as a target does, and keeps account of what it was given.
+// POST /leaf, POST /cancel, GET /health, GET /account, and POST /control, which takes a JSON object
+// of settings by name and of the events "restart" and "turn_cold".
 class target_handler : public gooseberrymoor::http_handler
 {
 public:
@@ -19,23 +25,59 @@
     boost::asio::awaitable<gooseberrymoor::http_reply>
     handle(gooseberrymoor::http_request request) override;
     gooseberrymoor::http_reply refuse(gooseberrymoor::error_kind kind) override;
+    bool openConnection() override;
+    void closeConnection() override;
 
 private:
-    boost::asio::awaitable<gooseberrymoor::http_reply> handleLeaf(const std::string &body);
-    gooseberrymoor::http_reply handleCancel(const std::string &body);
-    gooseberrymoor::http_reply replyWith(unsigned status, boost::json::object body) const;
-    std::string account() const;
+    struct leaf
+    {
+        std::string id;
+        std::string shard;
+        std::string snapshot;
+        std::string route;
+        std::string body;
+        bool isIdempotent = true;
+        gooseberrymoor::time_point deadline;
+    };
+
+    static leaf readLeaf(const std::string &body);
+    boost::asio::awaitable<gooseberrymoor::http_reply> handleLeaf(leaf request);
+    boost::asio::awaitable<gooseberrymoor::http_reply> runLeaf(leaf request);
+    boost::asio::awaitable<gooseberrymoor::http_reply> handleCancel(std::string body);
+    boost::asio::awaitable<void> awaitSlot(leaf request);
+    boost::asio::awaitable<void> work(leaf request);
+    gooseberrymoor::http_reply answer(const leaf &request);
+    bool isCancelled(const leaf &request) const;
+    bool isExpired(const leaf &request) const;
+    void requireGeneration(int generation) const;
+    boost::asio::awaitable<void> goSilent();
+    gooseberrymoor::http_reply handleControl(const std::string &body);
+    gooseberrymoor::http_reply health();
+    gooseberrymoor::http_reply replyWith(unsigned status, boost::json::object body);
+    void requireUp() const;
+    bool isCold() const;
+    void fallOver();
+    void restart();
+    void rememberCancelled(const std::string &id);
+    bool chance(int permille);
+    bool isBadFor(const leaf &request) const;
+    gooseberrymoor::duration latencyOf(const leaf &request);
 
     boost::asio::any_io_executor m_executor;
     target_settings m_settings;
     std::string m_instance;
-    gooseberrymoor::signal m_slotFree;
-    gooseberrymoor::signal m_cancelled;
+    std::mt19937 m_random;
+    gooseberrymoor::signal m_changed; // slots, cancellations and what runs
+    cold_start m_coldStart;
+    health_history m_healthHistory;
+    target_account m_account;
+    std::set<std::string> m_active; // requests that run or wait
     std::set<std::string> m_cancelledIds;
-    std::map<std::string, int> m_runsByBody; // of requests that are not idempotent
+    std::deque<std::string> m_cancelledOrder; // the oldest are forgotten
+    gooseberrymoor::time_point m_goneUntil {}; // after it fell over
+    gooseberrymoor::time_point m_heldUpUntil {}; // by new connections
+    int m_generation = 0; // rises with each restart
     int m_running = 0;
     int m_waiting = 0;
-    int m_mostRunning = 0;
-    int m_served = 0;
-    int m_shed = 0;
+    int m_connections = 0;
 };
