Believe that a drain has ended only after several health reports

Cause: a lagging health report with an older instance than the last two could end a drain at once. Ruled out: ending drains by time (the target may drain for long); ending them by replies alone (it gets no requests while it drains). Change: three reports in a row without a drain, or a reply of another process, end it, cold. Conclusion: a lagging report keeps a target out for longer, and never lets one in.

--- a/gooseberrymoor/admission/target_admission.cpp
+++ b/gooseberrymoor/admission/target_admission.cpp
@@ -191,6 +191,9 @@
 
 void target_admission::observeReply(const target_status &status, time_point now)
 {
+    const bool isAnother = !status.instance.empty() && status.instance != m_instance;
+    if (isAnother && m_phase == admission_phase::draining)
+        observeReturn(now);
     observeInstance(status.instance, now);
     if (status.cold == false)
         m_saidWarmAt = now;
@@ -226,8 +229,6 @@
     if (isFirst)
         return;
     m_saidWarmAt.reset();
-    if (m_phase == admission_phase::draining)
-        enter(admission_phase::cold, admission_reason::new_instance);
     turnCold(admission_reason::new_instance, now);
 }
 
--- a/gooseberrymoor/target/target_pool_test.cpp
+++ b/gooseberrymoor/target/target_pool_test.cpp
@@ -3,6 +3,7 @@
 #include "gooseberrymoor/admission/leaf_reply_sink.h"
 #include "gooseberrymoor/admission/owner_permission.h"
 #include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/base/manual_time.h"
 #include "gooseberrymoor/base/task.h"
 #include "gooseberrymoor/configuration/configuration.h"
 #include "gooseberrymoor/http/http_handler.h"
@@ -98,6 +99,8 @@
                 co_return http_reply(404, "{}");
             co_return http_reply(200, R"({"stopped":true})");
         }
+        if (request.path == "/health")
+            co_return http_reply(200, health);
         if (request.path != "/leaf")
             co_return http_reply(404, "{}");
         ++received;
@@ -125,6 +128,7 @@
 
     unsigned status = 200;
     std::string reply = R"({"request_shard":"a","snapshot":"s1","body":"b","instance":"i1"})";
+    std::string health = R"({"instance":"i1"})";
     bool confirmsCancels = true;
     int letGo = 0;
     int received = 0;
@@ -463,6 +467,61 @@
     }
 }
 
+TEST_CASE("A target reports its health over the control connection")
+{
+    manual_time clock;
+    pool_with_target site;
+    site.target.release(1'000'000);
+    const auto pass = [&](duration span) {
+        for (duration passed {}; passed < span; passed += duration(1)) {
+            site.context.restart();
+            site.context.poll();
+            clock.advance(duration(1));
+        }
+    };
+    const auto first = site.submit(1);
+    pass(duration(50));
+    REQUIRE(first->count == 1);
+
+    SUBCASE("that it drains, so it gets nothing more")
+    {
+        site.target.health = R"({"instance":"i1","draining":true})";
+        pass(duration(3100));
+        CHECK(site.pool->admission().phase() == admission_phase::draining);
+        const auto late = site.submit(2);
+        CHECK(late->answer.error == error_kind::draining);
+        CHECK(late->answer.outcome == verdict::not_run);
+
+        SUBCASE("until it has said otherwise for a while")
+        {
+            site.target.health = R"({"instance":"i1","draining":false})";
+            pass(duration(3 * 3100));
+            CHECK(site.pool->admission().phase() == admission_phase::cold);
+            const auto next = site.submit(3);
+            pass(duration(50));
+            CHECK(next->answer.outcome == verdict::completed);
+        }
+    }
+    SUBCASE("that it is another process, so it is cold")
+    {
+        for (std::uint64_t id = 2; id < 40; ++id)
+            site.submit(id);
+        pass(duration(200));
+        REQUIRE(site.pool->admission().phase() == admission_phase::warm);
+        site.target.health = R"({"instance":"i2"})";
+        pass(duration(3100));
+        CHECK(site.pool->admission().phase() == admission_phase::cold);
+        CHECK(site.pool->admission().reason() == admission_reason::new_instance);
+    }
+    SUBCASE("with nonsense, which changes nothing")
+    {
+        const admission_phase before = site.pool->admission().phase();
+        site.target.health = "nonsense";
+        pass(duration(3100));
+        CHECK(site.pool->admission().phase() == before);
+    }
+}
+
 TEST_CASE("Nobody listens at the address of a target")
 {
     pool_with_target site(limits, closed_port);
