--- a/gooseberrymoor/admission/leaf_server.cpp
+++ b/gooseberrymoor/admission/leaf_server.cpp
@@ -7,33 +7,40 @@
 
 namespace gooseberrymoor {
 
-namespace {
-
-class channel_reply_sink : public leaf_reply_sink
+class leaf_server::reply_sink : public leaf_reply_sink
 {
 public:
-    explicit channel_reply_sink(std::shared_ptr<peer_channel> channel)
-        : m_channel(std::move(channel))
+    reply_sink(std::shared_ptr<peer_channel> channel, std::shared_ptr<open_requests> open)
+        : m_channel(std::move(channel)), m_open(std::move(open))
+    {
+    }
+    void reply(leaf_response response) override
     {
+        m_open->erase(response.id);
+        sendLeafResponse(*m_channel, response);
     }
-    void reply(leaf_response response) override { sendLeafResponse(*m_channel, response); }
 
 private:
     std::shared_ptr<peer_channel> m_channel;
+    std::shared_ptr<open_requests> m_open;
 };
 
-} // namespace
-
 leaf_server::leaf_server(leaf_service &service) : m_service(service) { }
 
+leaf_server::~leaf_server() = default;
+
 bool leaf_server::onFrame(const std::shared_ptr<peer_channel> &channel, const frame &message)
 {
     if (message.kind == message_kind::leaf_request) {
         auto request = decodeLeafRequest(message.payload);
         if (!request)
             return false;
+        auto &open = m_open[channel];
+        if (!open)
+            open = std::make_shared<open_requests>();
+        open->insert(request->id);
         m_service.submit(channel->peerName(), std::move(*request),
-                         std::make_shared<channel_reply_sink>(channel));
+                         std::make_shared<reply_sink>(channel, open));
         return true;
     }
     const auto cancelled = decodeLeafCancel(message.payload);
@@ -43,6 +50,15 @@
     return true;
 }
 
-void leaf_server::onChannelClosed(const std::shared_ptr<peer_channel> &) { }
+void leaf_server::onChannelClosed(const std::shared_ptr<peer_channel> &channel)
+{
+    const auto found = m_open.find(channel);
+    if (found == m_open.end())
+        return;
+    const open_requests unanswered = *found->second;
+    m_open.erase(found);
+    for (const std::uint64_t id : unanswered)
+        m_service.cancel(channel->peerName(), id);
+}
 
 } // namespace gooseberrymoor
