--- a/gooseberrymoor/node/node.cpp
+++ b/gooseberrymoor/node/node.cpp
@@ -110,6 +110,7 @@
     if (m_owner.isIdle())
         co_await m_membership.leave(millis_clock::now() + store_patience);
     m_stopped = true;
+    m_owner.stop();
     m_follower.stop();
     m_membership.stop();
     m_network.stop();
