--- /dev/null
+++ b/gooseberrymoor/membership/owner_lease_test.cpp
@@ -0,0 +1,262 @@
+#include "gooseberrymoor/membership/majority_lease.h"
+#include "gooseberrymoor/membership/ownership.h"
+#include "gooseberrymoor/membership/target_handover.h"
+
+#include <doctest/doctest.h>
+
+using namespace gooseberrymoor;
+
+namespace {
+
+const duration lease_length { 3000 };
+const duration hold { 5000 };
+const time_point start { duration(100'000) };
+const ownership_timing timing { duration(500), lease_length, duration(2000) };
+
+member memberCalled(const std::string &name, std::uint64_t incarnation = 7)
+{
+    const auto port = static_cast<std::uint16_t>(7000 + name.back());
+    return { name, incarnation, "kl-a", { "127.0.0.1", port }, { "127.0.0.1", 8001 }, false };
+}
+
+cell_view viewOf(std::int64_t epoch, const std::vector<std::string> &names)
+{
+    cell_view view;
+    view.epoch = epoch;
+    for (const std::string &name : names)
+        view.put(memberCalled(name));
+    return view;
+}
+
+membership_message messageFrom(const member &sender, membership_message_kind kind,
+                               std::int64_t epoch)
+{
+    membership_message message;
+    message.kind = kind;
+    message.sender = sender.id();
+    message.epoch = epoch;
+    return message;
+}
+
+// The first message of `kind` in `actions`, or null.
+const membership_message *find(const ownership_actions &actions, membership_message_kind kind)
+{
+    for (const auto &each : actions.messages) {
+        if (each.message.kind == kind)
+            return &each.message;
+    }
+    return nullptr;
+}
+
+bool grantsLease(ownership &decision, const member &to, std::int64_t epoch, time_point now)
+{
+    const auto request = messageFrom(to, membership_message_kind::lease_request, epoch);
+    const auto actions = decision.onMessage(request, now);
+    return find(actions, membership_message_kind::lease_reply)->granted;
+}
+
+} // namespace
+
+TEST_CASE("A lease is renewed by a majority")
+{
+    majority_lease lease(lease_length);
+    SUBCASE("of three: itself and one more")
+    {
+        lease.adopt(viewOf(5, { "n1", "n2", "n3" }), start);
+        CHECK(!lease.holds(start));
+        lease.onGrant("n2", start);
+        CHECK(lease.holds(start + lease_length - duration(1)));
+        CHECK(!lease.holds(start + lease_length));
+
+        SUBCASE("and an old answer that comes late does not shorten it")
+        {
+            lease.onGrant("n3", start - duration(1000));
+            CHECK(lease.until() == start + lease_length);
+        }
+        SUBCASE("and the time given stands under the next view, but its grants count no more")
+        {
+            lease.adopt(viewOf(6, { "n1", "n2", "n3", "n4" }), start);
+            CHECK(lease.until() == start + lease_length);
+            lease.onGrant("n3", start + duration(100));
+            CHECK(lease.until() == start + lease_length);
+            lease.onGrant("n4", start + duration(200));
+            CHECK(lease.until() == start + duration(100) + lease_length);
+        }
+        SUBCASE("and a read of the store is no voter")
+        {
+            lease.onStoreRead(start + duration(500));
+            CHECK(lease.until() == start + lease_length);
+        }
+        SUBCASE("and ends with the membership")
+        {
+            lease.end();
+            CHECK(!lease.holds(start));
+        }
+    }
+    SUBCASE("of five: by the third newest")
+    {
+        lease.adopt(viewOf(5, { "n1", "n2", "n3", "n4", "n5" }), start);
+        lease.onGrant("n2", start + duration(300));
+        CHECK(!lease.holds(start));
+        lease.onGrant("n3", start + duration(100));
+        CHECK(lease.until() == start + duration(100) + lease_length);
+    }
+    SUBCASE("of two: the other one or the store")
+    {
+        lease.adopt(viewOf(5, { "n1", "n2" }), start);
+        lease.onStoreRead(start);
+        CHECK(lease.until() == start + lease_length);
+        lease.onGrant("n2", start + duration(50));
+        CHECK(lease.until() == start + duration(50) + lease_length);
+    }
+    SUBCASE("of one: itself, until another joins")
+    {
+        lease.adopt(viewOf(5, { "n1" }), start);
+        CHECK(lease.holds(time_point::max() - duration(1)));
+        lease.adopt(viewOf(6, { "n1", "n2" }), start);
+        CHECK(lease.until() == start + lease_length);
+    }
+}
+
+TEST_CASE("A member answers for its epoch only")
+{
+    ownership first(memberCalled("n1"), timing, 1);
+    const member second = memberCalled("n2");
+    const member third = memberCalled("n3");
+    first.onView(viewOf(5, { "n1", "n2", "n3" }), start);
+
+    SUBCASE("it renews a lease asked for in the same epoch")
+    {
+        CHECK(grantsLease(first, second, 5, start));
+        CHECK(!grantsLease(first, second, 4, start));
+        CHECK(!grantsLease(first, second, 6, start));
+        CHECK(!grantsLease(first, memberCalled("n2", 8), 5, start));
+        CHECK(!grantsLease(first, memberCalled("n9"), 5, start));
+    }
+    SUBCASE("it gives its view to one that knows an older")
+    {
+        const auto request = messageFrom(second, membership_message_kind::lease_request, 4);
+        const auto actions = first.onMessage(request, start);
+        const auto *update = find(actions, membership_message_kind::view_update);
+        REQUIRE(update);
+        CHECK(update->view == first.view());
+    }
+    SUBCASE("it promises to renew the lease of a member no more")
+    {
+        auto request = messageFrom(second, membership_message_kind::promise_request, 5);
+        request.subject = third.id();
+        SUBCASE("but not of one that answered lately")
+        {
+            CHECK(!find(first.onMessage(request, start), membership_message_kind::promise_reply)
+                       ->granted);
+            CHECK(grantsLease(first, third, 5, start));
+        }
+        SUBCASE("nor in another epoch")
+        {
+            request.epoch = 4;
+            CHECK(!find(first.onMessage(request, start + timing.silence()),
+                        membership_message_kind::promise_reply)
+                       ->granted);
+        }
+        SUBCASE("and keeps it until the epoch changes, also when the member is back")
+        {
+            const time_point later = start + timing.silence();
+            CHECK(find(first.onMessage(request, later), membership_message_kind::promise_reply)
+                      ->granted);
+            CHECK(!grantsLease(first, third, 5, later));
+            CHECK(!grantsLease(first, third, 5, later + 10 * lease_length));
+            CHECK(grantsLease(first, second, 5, later));
+            first.onView(viewOf(6, { "n1", "n2", "n3" }), later);
+            CHECK(grantsLease(first, third, 6, later));
+        }
+    }
+}
+
+TEST_CASE("A member proposes a view only when a majority has reached the present one")
+{
+    ownership first(memberCalled("n1"), timing, 1);
+    first.onView(viewOf(5, { "n1", "n2", "n3" }), start);
+    first.onStoreRead(5, start, start);
+    first.beginStop();
+    CHECK(!first.tick(start).proposal);
+
+    auto reply = messageFrom(memberCalled("n2"), membership_message_kind::lease_reply, 4);
+    reply.recipient = first.self().incarnation;
+    reply.sentAt = start;
+    CHECK(!first.onMessage(reply, start).proposal);
+    reply.epoch = 5;
+    const auto proposal = first.onMessage(reply, start).proposal;
+    REQUIRE(proposal);
+    CHECK(proposal->epoch == 5);
+    CHECK(proposal->find("n1")->leaving);
+}
+
+TEST_CASE("A target is handed over")
+{
+    const member_id self = memberCalled("n1").id();
+    const member_id second = memberCalled("n2").id();
+    const cell_view none;
+    // A target that n1 owns among three, and n3 as soon as it is there.
+    const cell_view three = viewOf(5, { "n1", "n2", "n4" });
+    const cell_view four = viewOf(6, { "n1", "n2", "n3", "n4" });
+    std::string target;
+    for (int i = 0; target.empty(); ++i) {
+        const std::string candidate = "t" + std::to_string(i);
+        if (ownerOf(three, candidate)->name == "n1" && ownerOf(four, candidate)->name == "n3")
+            target = candidate;
+    }
+    target_handover handover(self, hold);
+    handover.setTargets({ target }, none);
+    handover.adopt(none, three, start);
+    const time_point ready = start + hold;
+    CHECK(handover.unreleasedBy("n2") == std::vector<std::string> { target });
+
+    SUBCASE("when all others have released it and nothing of earlier members can run")
+    {
+        handover.onReleased(second, 5, { target });
+        CHECK(!handover.isHeld(target, ready));
+        handover.onReleased(memberCalled("n4").id(), 5, { target });
+        CHECK(!handover.isHeld(target, ready - duration(1)));
+        CHECK(handover.isHeld(target, ready));
+
+        SUBCASE("and stays so under other views until it is released")
+        {
+            handover.adopt(three, four, ready);
+            CHECK(handover.isHeld(target, ready));
+            handover.release(target);
+            CHECK(!handover.isHeld(target, ready));
+        }
+    }
+    SUBCASE("but not by a release of an earlier epoch, nor of another start of the node")
+    {
+        handover.onReleased(memberCalled("n4").id(), 5, { target });
+        handover.onReleased(second, 4, { target });
+        handover.onReleased(memberCalled("n2", 8).id(), 5, { target });
+        CHECK(!handover.isHeld(target, ready));
+    }
+    SUBCASE("and a member that was removed before it released is waited for")
+    {
+        handover.onReleased(memberCalled("n4").id(), 5, { target });
+        cell_view next = viewOf(6, { "n1", "n4" });
+        next.removals = 1;
+        const time_point seen = start + 2 * hold;
+        handover.adopt(three, next, seen);
+        CHECK(!handover.isHeld(target, seen + hold - duration(1)));
+        CHECK(handover.isHeld(target, seen + hold));
+    }
+    SUBCASE("and one that left by itself is not")
+    {
+        handover.onReleased(memberCalled("n4").id(), 5, { target });
+        handover.adopt(three, viewOf(6, { "n1", "n4" }), ready);
+        CHECK(handover.isHeld(target, ready));
+    }
+    SUBCASE("and what was not held is asked for anew after another owned it")
+    {
+        handover.onReleased(second, 5, { target });
+        handover.adopt(three, four, ready);
+        handover.adopt(four, viewOf(7, { "n1", "n2", "n4" }), ready);
+        CHECK(handover.unreleasedBy("n2") == std::vector<std::string> { target });
+        handover.onReleased(second, 6, { target });
+        CHECK(handover.unreleasedBy("n2") == std::vector<std::string> { target });
+    }
+}
--- /dev/null
+++ b/gooseberrymoor/target/target_owner_test.cpp
@@ -0,0 +1,89 @@
+#include "gooseberrymoor/target/target_owner.h"
+
+#include "gooseberrymoor/admission/leaf_message.h"
+#include "gooseberrymoor/admission/leaf_reply_sink.h"
+#include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/configuration/configuration.h"
+#include "gooseberrymoor/membership/target_ownership.h"
+
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+
+using namespace gooseberrymoor;
+
+namespace {
+
+class fixed_ownership : public target_ownership
+{
+public:
+    bool isOwner(std::string_view) const override { return owner; }
+    bool mayStart(std::string_view, time_point) const override { return owner && clear; }
+
+    bool owner = true;
+    bool clear = true;
+};
+
+class last_reply : public leaf_reply_sink
+{
+public:
+    void reply(leaf_response response) override { last = std::move(response); }
+
+    leaf_response last;
+};
+
+configuration oneTarget()
+{
+    service_config service;
+    service.name = "standings";
+    service.groups = { { "g1", { { "g1-a", { "127.0.0.1", 20'070 }, "kl-a", "v1", false } } } };
+    configuration result;
+    result.services["standings"] = service;
+    return result;
+}
+
+} // namespace
+
+TEST_CASE("A node is asked for a target")
+{
+    asio::io_context context;
+    counters events;
+    fixed_ownership ownership;
+    target_owner owner(context.get_executor(), ownership, duration(2000), events);
+    const auto sink = std::make_shared<last_reply>();
+    leaf_request request;
+    request.id = 7;
+    request.service = "standings";
+    request.target = "g1-a";
+    request.timeout = duration(100);
+
+    SUBCASE("that is another's, and refuses it as not run")
+    {
+        ownership.owner = false;
+        owner.update(oneTarget());
+        owner.submit("n2", request, sink);
+        CHECK(sink->last.id == 7);
+        CHECK(sink->last.error == error_kind::not_owner);
+        CHECK(sink->last.outcome == verdict::not_run);
+    }
+    SUBCASE("that it owns")
+    {
+        owner.update(oneTarget());
+        SUBCASE("but must not use yet, and refuses it as not run")
+        {
+            ownership.clear = false;
+            owner.submit("n2", request, sink);
+            CHECK(sink->last.error == error_kind::no_owner);
+            CHECK(sink->last.outcome == verdict::not_run);
+            CHECK(!owner.mayStillRun("standings/g1-a"));
+        }
+        SUBCASE("and counts it as running until it has ended")
+        {
+            owner.submit("n2", request, sink);
+            CHECK(owner.mayStillRun("standings/g1-a"));
+            CHECK(!owner.isIdle());
+            context.run_for(duration(1000));
+            CHECK(sink->last.id == 7);
+            CHECK(owner.isIdle());
+        }
+    }
+}
