--- a/gooseberrymoor/decisions.h
+++ b/gooseberrymoor/decisions.h
@@ -8,5 +8,6 @@
 #include "gooseberrymoor/entry/entry_admission.h" // whether a caller's request is taken
 #include "gooseberrymoor/entry/entry_directory.h" // which entries callers are told of
 #include "gooseberrymoor/membership/cell_view.h" // who owns which target
+#include "gooseberrymoor/membership/ownership.h" // whether the owner may send, and the view's changes
 #include "gooseberrymoor/query/query_run.h" // one query from fan-out to answer
 #include "gooseberrymoor/query/routing_table.h" // which targets may be asked
