--- a/gooseberrymoor/decisions.h
+++ b/gooseberrymoor/decisions.h
@@ -12,6 +12,7 @@
 #include "gooseberrymoor/membership/cell_view.h" // who owns which target
 #include "gooseberrymoor/query/extra_budget.h" // how much may be sent beyond first requests
 #include "gooseberrymoor/query/quantile_hedge_policy.h" // when a hedge goes out
+#include "gooseberrymoor/membership/ownership.h" // whether the owner may send, and the view's changes
 #include "gooseberrymoor/query/query_run.h" // one query from fan-out to answer
 #include "gooseberrymoor/query/routing_table.h" // which targets may be asked
 #include "gooseberrymoor/query/snapshot_preference.h" // which snapshot a query begins with
