Count early refusal in shards, and show its limits in the dump

Cause: a query for 160 shards counted as much as a request to one.

Ruled out: debt without a bound for wide queries let in to learn from: at the lowest limit it would grow for ever.

--- a/gooseberrymoor/entry/adaptive_rate.cpp
+++ b/gooseberrymoor/entry/adaptive_rate.cpp
@@ -10,9 +10,9 @@
 constexpr duration probe_interval { 100 };
 constexpr double decrease = 0.85;
 constexpr double increase_factor = 1.02; // a window
-constexpr double increase_step = 0.1; // queries a second, a window
-constexpr double lowest_limit = 5; // queries a second
-constexpr double highest_limit = 1e6; // queries a second; beyond it there is no limit
+constexpr double increase_step = 1; // shards a second, a window
+constexpr double lowest_limit = 50; // shards a second
+constexpr double highest_limit = 1e7; // shards a second; beyond it there is no limit
 constexpr std::size_t shed_divisor = 100; // one shard in so many may be shed
 constexpr double typical_quantile = 0.5;
 constexpr double least_weight = 20; // queries, before their time is taken as typical
@@ -25,11 +25,11 @@
 
 } // namespace
 
-bool adaptive_rate::admit(duration timeLeft, time_point now)
+bool adaptive_rate::admit(std::size_t shards, duration timeLeft, time_point now)
 {
     refill(now);
     const bool inTime = typicalTime() <= timeLeft;
-    const bool hasToken = !m_limited || m_tokens >= 1;
+    const bool hasToken = !m_limited || m_tokens > 0;
     if (!inTime || !hasToken) {
         const bool probes = !m_hasProbed || now - m_probedAt >= probe_interval;
         if (!probes)
@@ -37,8 +37,11 @@
         m_hasProbed = true;
         m_probedAt = now;
     }
-    m_tokens = std::max(m_tokens - 1, 0.0);
-    ++m_admitted;
+    // The debt is one query's at most, or wide ones let in to learn from would keep all others out.
+    const auto cost = static_cast<double>(shards);
+    if (m_limited)
+        m_tokens = std::max(m_tokens - cost, -cost);
+    m_admitted += shards;
     return true;
 }
 
@@ -71,6 +74,8 @@
     if (sheds && now >= m_holdUntil) {
         const double before = m_limited ? std::min(m_limit, rate) : rate;
         m_limit = std::max(before * decrease, lowest_limit);
+        if (!m_limited)
+            m_tokens = 0;
         m_limited = true;
         m_holdUntil = now + window + typicalTime();
     } else if (!sheds && m_limited) {
--- a/gooseberrymoor/entry/adaptive_rate.h
+++ b/gooseberrymoor/entry/adaptive_rate.h
@@ -16,20 +16,21 @@
     duration took {};
 };
 
-// How many queries of one service a node takes a second, found by additive increase and
+// How many shards of one service a node lets queries ask a second, found by additive increase and
 // multiplicative decrease. While leaf requests are shed, each query lacks some shard, so that no
 // answer would be whole if every query were let in; a lower rate of queries keeps them whole. The
 // rate is unlimited until shards are shed. Plain state. Not thread-safe.
 class adaptive_rate
 {
 public:
-    // Whether a query that has `timeLeft` is taken now. A few are always taken, to learn from.
-    bool admit(duration timeLeft, time_point now);
+    // Whether a query for `shards` that has `timeLeft` is taken now. A few are always taken, to
+    // learn from.
+    bool admit(std::size_t shards, duration timeLeft, time_point now);
 
     // A query that was taken has ended.
     void onEnded(const query_outcome &outcome, time_point now);
 
-    // Queries a second that are taken; 0 means that there is no limit.
+    // Shards a second that are taken; 0 means that there is no limit.
     double limit() const { return m_limited ? m_limit : 0; }
 
 private:
@@ -42,11 +43,11 @@
     time_point m_refilledAt {};
     time_point m_holdUntil {}; // until then a lower limit cannot have shown its effect
     time_point m_probedAt {};
-    std::size_t m_admitted = 0; // in this window, as the next two
+    std::size_t m_admitted = 0; // shards in this window, as the next two
     std::size_t m_shards = 0;
     std::size_t m_shed = 0;
-    double m_limit = 0; // queries a second
-    double m_tokens = 0;
+    double m_limit = 0; // shards a second
+    double m_tokens = 0; // shards; negative after a query that was wider than what was left
     bool m_limited = false;
     bool m_hasProbed = false;
 };
--- a/gooseberrymoor/entry/entry_admission.cpp
+++ b/gooseberrymoor/entry/entry_admission.cpp
@@ -41,9 +41,9 @@
 }
 
 std::optional<request_error> entry_admission::refuseForLoad(const query_request &request,
-                                                            time_point now)
+                                                            std::size_t shards, time_point now)
 {
-    if (m_rates[request.service].admit(request.deadline - now, now))
+    if (m_rates[request.service].admit(shards, request.deadline - now, now))
         return std::nullopt;
     return request_error { error_kind::overloaded, verdict::not_run, "the service is overloaded" };
 }
--- a/gooseberrymoor/entry/entry_admission.h
+++ b/gooseberrymoor/entry/entry_admission.h
@@ -42,9 +42,11 @@
     // Why any new request is refused while `running` run; nothing if none of these reasons holds.
     std::optional<request_error> refusal(std::size_t running) const;
 
-    // Why `request` is refused for the recent load of its service; nothing if it is taken, which
-    // is then counted. The service must be known, or state would grow with what callers make up.
-    std::optional<request_error> refuseForLoad(const query_request &request, time_point now);
+    // Why `request`, for `shards` in number, is refused for the recent load of its service; nothing
+    // if it is taken, which is then counted. The service must be known, or state would grow with
+    // what callers make up.
+    std::optional<request_error> refuseForLoad(const query_request &request, std::size_t shards,
+                                               time_point now);
 
     // A request of `service` that was taken was answered with `answer` after `took`.
     void onAnswered(const std::string &service, const query_answer &answer, duration took,
--- a/gooseberrymoor/node/state_report.cpp
+++ b/gooseberrymoor/node/state_report.cpp
@@ -48,6 +48,15 @@
     return targets;
 }
 
+// Shards a second that callers may ask of each service; 0 means that there is no limit.
+json::object limitsOf(const entry_admission &admission)
+{
+    json::object limits;
+    for (const auto &[service, rate] : admission.rates())
+        limits[service] = rate.limit();
+    return limits;
+}
+
 json::object latencyOf(const latency_histogram &histogram)
 {
     json::object latency { { "count", histogram.count() } };
@@ -86,6 +95,7 @@
         { "view", membersOf(m_parts.membership.view()) },
         { "links", links },
         { "targets", targetsOf(m_parts.owner, millis_clock::now()) },
+        { "shards_a_second", limitsOf(m_parts.admission) },
         { "running_queries", m_parts.runner.running() },
         { "outstanding_leaf_requests", m_parts.gateway.outstanding() },
         { "counters", counts },
--- a/gooseberrymoor/query/query_run.cpp
+++ b/gooseberrymoor/query/query_run.cpp
@@ -157,6 +157,7 @@
     result.snapshot = m_snapshot;
     result.leafRequests = static_cast<int>(m_attempts.size());
     result.extraRequests = m_extra;
+    result.askedAgain = m_askedAgain;
     for (const shard_progress &shard : m_shards) {
         if (shard.covered)
             result.results.push_back({ shard.name, shard.body });
--- a/gooseberrymoor/query/query_run_test.cpp
+++ b/gooseberrymoor/query/query_run_test.cpp
@@ -112,6 +112,7 @@
             run.onResponse(attempt, answered("c", "old"), start + duration(20));
             REQUIRE(run.isFinished());
             CHECK(run.answer().snapshot == "old");
+            CHECK(run.answer().askedAgain);
             REQUIRE(run.answer().results.size() == 1);
             CHECK(run.answer().results[0].body == "c");
             CHECK(run.answer().uncovered.empty());
