Settle lost answers to configuration changes; add leases and watches to the store

Cause: an operator whose change lost its answer was told what a read of the head showed. Ruled out: reading the head again later (no time is late enough), a list of past operations in the head (bounded, so it forgets). Change: a change also puts an operation key with a lease, on condition that it is absent; after an unknown outcome the writer tries to put "abandoned" there. The store client gets leases, a watch over POST /v3/watch, exact keys, kept connections for reads; the stand-in gets leases, watches, faults at run time and an account of its calls. Conclusion: accepted and not accepted are now definite; unknown is left only for a store that stays out of reach for 15 s.

--- /dev/null
+++ b/gooseberrymoor/configuration/change_settlement.cpp
@@ -0,0 +1,61 @@
+#include "gooseberrymoor/configuration/change_settlement.h"
+
+namespace gooseberrymoor {
+
+const std::string &change_settlement::abandonedText()
+{
+    static const std::string text = "abandoned";
+    return text;
+}
+
+change_settlement::change_settlement(std::string record, time_point deadline)
+    : m_record(std::move(record)), m_deadline(deadline)
+{
+    m_result.detail = "the store did not answer in time";
+}
+
+settlement_step change_settlement::next(time_point now)
+{
+    if (now >= m_deadline)
+        m_step = settlement_step::done;
+    return m_step;
+}
+
+void change_settlement::onAbandon(const tl::expected<transaction_result, store_error> &outcome)
+{
+    if (!outcome) {
+        m_result.detail = outcome.error().detail;
+        m_step = settlement_step::read_operation;
+        return;
+    }
+    if (outcome->succeeded) {
+        finish(change_state::not_accepted, 0, "the store did not take it, and never will");
+        return;
+    }
+    m_step = settlement_step::read_operation;
+}
+
+void change_settlement::onOperation(const tl::expected<store_read, store_error> &outcome)
+{
+    if (!outcome) {
+        m_result.detail = outcome.error().detail;
+        return;
+    }
+    if (outcome->entries.empty()) {
+        m_step = settlement_step::abandon;
+        return;
+    }
+    const store_entry &present = outcome->entries.front();
+    if (present.value == m_record)
+        finish(change_state::accepted, present.modRevision, "");
+    else
+        finish(change_state::not_accepted, 0, "the store did not take it, and never will");
+}
+
+void change_settlement::finish(change_state state, std::int64_t revision, std::string detail)
+{
+    m_result = { state, revision, std::move(detail) };
+    m_step = settlement_step::done;
+}
+
+} // namespace gooseberrymoor
--- a/gooseberrymoor/configuration/configuration_keys.h
+++ b/gooseberrymoor/configuration/configuration_keys.h
@@ -12,7 +12,8 @@
 {
 public:
     explicit configuration_keys(const std::string &cell)
-        : m_root("/gooseberrymoor/" + cell + "/config/")
+        : m_root("/gooseberrymoor/" + cell + "/config/"),
+          m_operations("/gooseberrymoor/" + cell + "/operations/")
     {
     }
 
@@ -22,8 +23,12 @@
     std::string servicePrefix() const { return m_root + "services/"; }
     std::string service(const std::string &name) const { return servicePrefix() + name; }
 
+    // The operation key of one try of one change; outside `root`, so that readers miss it.
+    std::string operation(const std::string &id) const { return m_operations + id; }
+
 private:
     std::string m_root;
+    std::string m_operations;
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/configuration/configuration_writer.cpp
+++ b/gooseberrymoor/configuration/configuration_writer.cpp
@@ -1,26 +1,57 @@
 #include "gooseberrymoor/configuration/configuration_writer.h"
 
+#include "gooseberrymoor/base/timer.h"
+#include "gooseberrymoor/configuration/change_record.h"
+#include "gooseberrymoor/configuration/change_settlement.h"
+#include "gooseberrymoor/configuration/configuration_change.h"
 #include "gooseberrymoor/store/key_value_store.h"
 
-#include <boost/json.hpp>
-
 #include <random>
 
 namespace gooseberrymoor {
 
 namespace {
 
+// How long an operation key stands, far longer than a settlement takes. Once the lease has ended
+// the store refuses the change itself, since the change names the lease too.
+constexpr duration operation_lease { 600'000 };
+constexpr duration longest_settlement { 15'000 };
+constexpr duration settlement_pause { 250 };
+
 std::string newOperationId()
 {
     std::random_device source;
     return std::to_string(std::uniform_int_distribution<std::uint64_t>()(source));
 }
 
-// Built outside the task: g++ 12 cannot compile initializer lists in a co_await expression.
-store_transaction changeFrom(const std::string &headKey, std::int64_t basis,
-                             std::vector<store_put> puts)
+// Built outside the tasks: g++ 12 cannot compile initializer lists in a co_await expression.
+store_transaction abandonment(const std::string &operationKey, std::int64_t lease)
+{
+    return { { { operationKey, 0 } },
+             { { operationKey, change_settlement::abandonedText(), lease } },
+             {} };
+}
+
+store_transaction transactionFrom(const configuration_keys &keys, std::int64_t basis,
+                                  configuration_change change, const std::string &operationKey,
+                                  const std::string &record, std::int64_t lease)
+{
+    change.puts.push_back({ keys.head(), record, 0 });
+    change.puts.push_back({ operationKey, record, lease });
+    return { { { keys.head(), basis }, { operationKey, 0 } },
+             std::move(change.puts),
+             std::move(change.deletes) };
+}
+
+change_result notAccepted(std::int64_t basis, const std::string &detail)
+{
+    return { change_state::not_accepted, basis, detail };
+}
+
+asio::awaitable<void> pauseFor(duration time)
 {
-    return { { { headKey, basis } }, std::move(puts), {} };
+    timer pause(co_await asio::this_coro::executor, millis_clock::now() + time);
+    co_await pause.async_wait(as_result);
 }
 
 } // namespace
@@ -34,24 +65,66 @@
 asio::awaitable<change_result> configuration_writer::write(std::int64_t basis,
                                                            std::vector<store_put> puts)
 {
-    const std::string head = boost::json::serialize(
-        boost::json::object { { "operation", newOperationId() }, { "author", m_author } });
-    puts.push_back({ m_keys.head(), head });
-    const auto result
-        = co_await m_store.transact(changeFrom(m_keys.head(), basis, std::move(puts)));
+    configuration_change change;
+    change.puts = std::move(puts);
+    co_return co_await write(basis, std::move(change));
+}
+
+asio::awaitable<change_result> configuration_writer::write(std::int64_t basis,
+                                                           configuration_change change)
+{
+    const auto lease = co_await m_store.grantLease(operation_lease);
+    if (!lease)
+        co_return notAccepted(basis, lease.error().detail);
+    const change_record record { newOperationId(), m_author, change.what };
+    const std::string text = encodeChangeRecord(record);
+    const std::string operationKey = m_keys.operation(record.operation);
+    auto transaction
+        = transactionFrom(m_keys, basis, std::move(change), operationKey, text, *lease);
+    const auto result = co_await m_store.transact(std::move(transaction));
     if (result && result->succeeded)
         co_return change_result { change_state::accepted, result->revision, "" };
-    if (!result && result.error().outcome == verdict::not_run)
-        co_return change_result { change_state::not_accepted, basis, result.error().detail };
-    const auto read = co_await m_store.readPrefix(m_keys.head());
+    if (result)
+        co_return co_await conflictWith(basis);
+    if (result.error().outcome == verdict::not_run)
+        co_return notAccepted(basis, result.error().detail);
+    auto settled = co_await settle(operationKey, text, *lease);
+    if (settled.state == change_state::not_accepted)
+        settled.revision = basis;
+    co_return settled;
+}
+
+asio::awaitable<change_result> configuration_writer::settle(std::string operationKey,
+                                                            std::string record, std::int64_t lease)
+{
+    change_settlement settlement(std::move(record), millis_clock::now() + longest_settlement);
+    for (auto step = settlement.next(millis_clock::now()); step != settlement_step::done;
+         step = settlement.next(millis_clock::now())) {
+        if (step == settlement_step::abandon) {
+            auto transaction = abandonment(operationKey, lease);
+            settlement.onAbandon(co_await m_store.transact(std::move(transaction)));
+            continue;
+        }
+        const auto operation = co_await m_store.readKey(operationKey);
+        settlement.onOperation(operation);
+        if (!operation)
+            co_await pauseFor(settlement_pause);
+    }
+    co_return settlement.result();
+}
+
+// Tells whose change came first.
+asio::awaitable<change_result> configuration_writer::conflictWith(std::int64_t basis)
+{
+    const auto read = co_await m_store.readKey(m_keys.head());
     if (!read)
-        co_return change_result { change_state::unknown, basis, read.error().detail };
+        co_return change_result { change_state::conflict, basis, read.error().detail };
     if (read->entries.empty())
-        co_return change_result { change_state::not_accepted, basis, "" };
-    const store_entry &present = read->entries.front();
-    if (present.value == head)
-        co_return change_result { change_state::accepted, present.modRevision, "" };
-    co_return change_result { change_state::conflict, present.modRevision, present.value };
+        co_return change_result { change_state::conflict, 0, "the configuration was removed" };
+    const store_entry &head = read->entries.front();
+    const auto record = decodeChangeRecord(head.value);
+    const std::string detail = record ? describe(*record) : head.value;
+    co_return change_result { change_state::conflict, head.modRevision, detail };
 }
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/configuration/configuration_writer.h
+++ b/gooseberrymoor/configuration/configuration_writer.h
@@ -1,10 +1,13 @@
 #pragma once
 
-#include "gooseberrymoor/base/name_table.h"
 #include "gooseberrymoor/base/net.h"
+#include "gooseberrymoor/configuration/change_result.h"
 #include "gooseberrymoor/configuration/configuration_keys.h"
+#include "gooseberrymoor/store/store_error.h"
 #include "gooseberrymoor/store/store_transaction.h"
 
+#include <tl/expected.hpp>
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -12,42 +15,30 @@
 namespace gooseberrymoor {
 
 class key_value_store;
-
-// What became of an operator's change.
-enum class change_state {
-    accepted,
-    conflict, // another operator's change came first
-    not_accepted, // surely not taken
-    unknown, // the store did not say, and could not be asked
-};
-
-constexpr name_table<change_state, 4> names(change_state)
-{
-    return { { { change_state::accepted, "accepted" },
-               { change_state::conflict, "conflict" },
-               { change_state::not_accepted, "not_accepted" },
-               { change_state::unknown, "unknown" } } };
-}
-
-// The outcome of a change; `revision` is the accepted one, or the one that came first.
-struct change_result
-{
-    change_state state = change_state::unknown;
-    std::int64_t revision = 0;
-    std::string detail;
-};
+struct configuration_change;
 
 // Writes operators' changes to the store, each against the revision it was made from.
+//
+// A change is one transaction that also puts an operation key of its own, so that a lost answer
+// can be settled (see `change_settlement`). Operation keys go with a lease.
 class configuration_writer
 {
 public:
     // `store` must outlive the writer. `author` is shown to other operators.
     configuration_writer(key_value_store &store, configuration_keys keys, std::string author);
 
-    // Writes `puts` if the configuration is still at revision `basis` (0: there is none yet).
+    // Writes `change` if the configuration is still at revision `basis` (0: there is none yet).
+    // Ends within about 20 s, or the time of one call of the store after that.
+    asio::awaitable<change_result> write(std::int64_t basis, configuration_change change);
+
+    // Writes `puts` likewise, without a line about them.
     asio::awaitable<change_result> write(std::int64_t basis, std::vector<store_put> puts);
 
 private:
+    asio::awaitable<change_result> settle(std::string operationKey, std::string record,
+                                          std::int64_t lease);
+    asio::awaitable<change_result> conflictWith(std::int64_t basis);
+
     key_value_store &m_store;
     configuration_keys m_keys;
     std::string m_author;
--- a/gooseberrymoor/http/http_message.h
+++ b/gooseberrymoor/http/http_message.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include <memory>
 #include <string>
 #include <utility>
 
 namespace gooseberrymoor {
 
+class http_body_source;
+
 // One HTTP request without its connection. Value type.
 // It has a constructor because g++ 12 destroys a brace-initialized aggregate twice if it is a
 // temporary in a co_await expression.
@@ -35,6 +38,7 @@
     std::string body;
     std::string contentType = "application/json";
     bool closeAfter = false; // the server closes the connection after this reply
+    std::shared_ptr<http_body_source> pieces; // if set, the body, sent in chunks
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/http/http_server.cpp
+++ b/gooseberrymoor/http/http_server.cpp
@@ -3,8 +3,10 @@
 #include "gooseberrymoor/base/counters.h"
 #include "gooseberrymoor/base/task.h"
 #include "gooseberrymoor/base/timer.h"
+#include "gooseberrymoor/http/http_body_source.h"
 #include "gooseberrymoor/http/http_handler.h"
 
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -131,6 +133,11 @@
                                                 std::move(message.body()) });
         }
         keepAlive = keepAlive && !m_stopping && !reply.closeAfter;
+        if (reply.pieces) {
+            if (!co_await sendPieces(socket, std::move(reply), version, keepAlive))
+                co_return;
+            continue;
+        }
         const auto message = toMessage(std::move(reply), version, keepAlive);
         const auto [writeError, written] = co_await http::async_write(socket, message, as_result);
         if (writeError)
@@ -138,4 +145,28 @@
     }
 }
 
+// Returns whether the whole body was sent.
+asio::awaitable<bool> http_server::sendPieces(tcp::socket &socket, http_reply reply,
+                                              unsigned version, bool keepAlive)
+{
+    http::response<http::empty_body> head(static_cast<http::status>(reply.status), version);
+    head.set(http::field::content_type, reply.contentType);
+    head.keep_alive(keepAlive);
+    head.chunked(true);
+    http::response_serializer<http::empty_body> serializer(head);
+    const auto [headError, headSize]
+        = co_await http::async_write_header(socket, serializer, as_result);
+    if (headError)
+        co_return false;
+    while (const auto piece = co_await reply.pieces->next()) {
+        const auto chunk = http::make_chunk(asio::buffer(*piece));
+        const auto [error, size] = co_await asio::async_write(socket, chunk, as_result);
+        if (error)
+            co_return false;
+    }
+    const auto last = http::make_chunk_last();
+    const auto [error, size] = co_await asio::async_write(socket, last, as_result);
+    co_return !error;
+}
+
 } // namespace gooseberrymoor
--- a/gooseberrymoor/http/http_server.h
+++ b/gooseberrymoor/http/http_server.h
@@ -14,6 +14,7 @@
 
 class counters;
 class http_handler;
+struct http_reply;
 
 // Serves HTTP/1.1 on one address: one task for each connection, one request of it at a time.
 // Not thread-safe. Handler and counters must outlive the executor's last task.
@@ -37,6 +38,8 @@
     asio::awaitable<void> acceptLoop();
     asio::awaitable<void> serve(asio::ip::tcp::socket socket);
     asio::awaitable<void> serveRequests(asio::ip::tcp::socket &socket);
+    asio::awaitable<bool> sendPieces(boost::asio::ip::tcp::socket &socket, http_reply reply,
+                                     unsigned version, bool keepAlive);
 
     asio::any_io_executor m_executor;
     http_handler &m_handler;
--- a/gooseberrymoor/store/etcd_codec.cpp
+++ b/gooseberrymoor/store/etcd_codec.cpp
@@ -3,6 +3,7 @@
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <stdexcept>
 
@@ -75,6 +76,11 @@
                                           { "range_end", toBase64(endOfPrefix(prefix)) } });
 }
 
+std::string encodeKeyRequest(const std::string &key)
+{
+    return json::serialize(json::object { { "key", toBase64(key) } });
+}
+
 tl::expected<store_read, std::string> decodeRangeResponse(const std::string &body)
 {
     try {
@@ -130,4 +136,60 @@
     }
 }
 
+std::string encodeLeaseGrant(duration timeToLive)
+{
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(timeToLive).count();
+    return json::serialize(json::object { { "TTL", std::to_string(std::max(seconds, 1L)) } });
+}
+
+tl::expected<std::int64_t, std::string> decodeLeaseGrant(const std::string &body)
+{
+    try {
+        const std::int64_t lease = numberOf(json::parse(body).as_object(), "ID");
+        if (lease == 0)
+            return tl::unexpected(std::string("ID: missing"));
+        return lease;
+    } catch (const std::exception &error) {
+        return tl::unexpected(std::string(error.what()));
+    }
+}
+
+std::string encodeKeepAlive(std::int64_t lease)
+{
+    return json::serialize(json::object { { "ID", std::to_string(lease) } });
+}
+
+tl::expected<duration, std::string> decodeKeepAlive(const std::string &body)
+{
+    try {
+        const json::object answer = json::parse(body).as_object();
+        const auto left = numberOf(answer.at("result").as_object(), "TTL");
+        return duration(std::chrono::seconds(std::max<std::int64_t>(left, 0)));
+    } catch (const std::exception &error) {
+        return tl::unexpected(std::string(error.what()));
+    }
+}
+
+std::string encodeWatch(const std::string &prefix, std::int64_t afterRevision)
+{
+    const json::object create { { "key", toBase64(prefix) },
+                                { "range_end", toBase64(endOfPrefix(prefix)) },
+                                { "start_revision", std::to_string(afterRevision + 1) } };
+    return json::serialize(json::object { { "create_request", create } });
+}
+
+tl::expected<bool, std::string> decodeWatchLine(const std::string &line)
+{
+    try {
+        const json::object answer = json::parse(line).as_object();
+        const json::object &result = answer.at("result").as_object();
+        const json::value *events = result.if_contains("events");
+        const json::value *cancelled = result.if_contains("canceled");
+        const bool changed = events && !events->as_array().empty();
+        return changed || (cancelled && cancelled->as_bool());
+    } catch (const std::exception &error) {
+        return tl::unexpected(std::string(error.what()));
+    }
+}
+
 } // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/store/etcd_store_test.cpp
@@ -0,0 +1,212 @@
+#include "gooseberrymoor/store/etcd_store.h"
+
+#include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/http/http_server.h"
+#include "testing/store_stand_in/store_handler.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <doctest/doctest.h>
+
+using namespace gooseberrymoor;
+
+namespace {
+
+const endpoint store_address { "127.0.0.1", 23001 };
+const endpoint closed_address { "127.0.0.1", 23003 };
+constexpr duration call_timeout { 400 };
+constexpr duration longest_run { 20'000 };
+constexpr std::size_t most_body_bytes = 1'400'000;
+constexpr std::uint32_t seed = 7;
+
+// Runs `task` to its end on `context` and returns its result.
+template <typename Result> Result runOn(asio::io_context &context, asio::awaitable<Result> task)
+{
+    std::optional<Result> result;
+    asio::co_spawn(context, std::move(task), [&result](std::exception_ptr failure, Result value) {
+        if (!failure)
+            result.emplace(std::move(value));
+    });
+    const time_point limit = millis_clock::now() + longest_run;
+    while (!result && millis_clock::now() < limit)
+        context.run_one_for(duration(50));
+    REQUIRE(result);
+    return std::move(*result);
+}
+
+store_transaction put(const std::string &key, const std::string &value, std::int64_t lease = 0)
+{
+    return { {}, { { key, value, lease } }, {} };
+}
+
+asio::awaitable<tl::expected<bool, store_error>>
+watchWhileWriting(asio::io_context &context, key_value_store &store, std::int64_t after)
+{
+    asio::co_spawn(context, store.transact(put("/a/y", "2")),
+                   [](std::exception_ptr, tl::expected<transaction_result, store_error>) {});
+    co_return co_await store.waitForChange("/a/", after, duration(5000));
+}
+
+} // namespace
+
+TEST_CASE("A node calls the platform's key-value service")
+{
+    asio::io_context context(1);
+    counters events;
+    store_handler handler(context.get_executor(), seed);
+    http_server server(context.get_executor(), handler, events, most_body_bytes);
+    REQUIRE(server.start(store_address));
+    etcd_store store({ store_address }, call_timeout, events);
+
+    const auto control = [&](const std::string &faults) {
+        const http_reply reply = handler.handleControl({ "POST", "/control", faults });
+        return reply.status;
+    };
+    const auto account = [&] {
+        return boost::json::parse(handler.handleControl({ "GET", "/account" }).body).as_object();
+    };
+
+    SUBCASE("and reads what was written")
+    {
+        const auto written = runOn(context, store.transact(put("/a/x", "1")));
+        REQUIRE(written);
+        CHECK(written->succeeded);
+        const auto read = runOn(context, store.readKey("/a/x"));
+        REQUIRE(read);
+        REQUIRE(read->entries.size() == 1);
+        CHECK(read->entries[0].modRevision == written->revision);
+        SUBCASE("by its exact key only")
+        {
+            const auto other = runOn(context, store.readKey("/a/"));
+            REQUIRE(other);
+            CHECK(other->entries.empty());
+        }
+        SUBCASE("over one connection for many reads")
+        {
+            const auto again = runOn(context, store.readPrefix("/a/"));
+            CHECK(again);
+            // The transaction's connection is closed by its end.
+            CHECK(server.openConnections() <= 2);
+        }
+        SUBCASE("and a watch returns at the next change")
+        {
+            const auto watched
+                = runOn(context, watchWhileWriting(context, store, written->revision));
+            REQUIRE(watched);
+            CHECK(*watched);
+            CHECK(account().at("calls").at("/v3/watch").to_number<int>() == 1);
+        }
+        SUBCASE("and a watch of an older revision returns at once")
+        {
+            const auto watched = runOn(context, store.waitForChange("/a/", 1, duration(5000)));
+            REQUIRE(watched);
+            CHECK(*watched);
+        }
+        SUBCASE("and a watch without a change says so after its time")
+        {
+            const auto watched = runOn(context, store.waitForChange("/b/", 1, duration(300)));
+            REQUIRE(watched);
+            CHECK(!*watched);
+        }
+    }
+    SUBCASE("with a lease")
+    {
+        const auto lease = runOn(context, store.grantLease(duration(2000)));
+        REQUIRE(lease);
+        REQUIRE(runOn(context, store.transact(put("/l/x", "1", *lease))));
+        const auto left = runOn(context, store.keepAlive(*lease));
+        REQUIRE(left);
+        CHECK(*left == duration(2000));
+        SUBCASE("whose end removes the key, and is a change for a watch")
+        {
+            const auto before = runOn(context, store.readPrefix("/l/"));
+            REQUIRE(before);
+            CHECK(before->entries.size() == 1);
+            const auto watched
+                = runOn(context, store.waitForChange("/l/", before->revision, duration(10'000)));
+            REQUIRE(watched);
+            CHECK(*watched);
+            const auto after = runOn(context, store.readPrefix("/l/"));
+            REQUIRE(after);
+            CHECK(after->entries.empty());
+            SUBCASE("and no key can be put with it any more")
+            {
+                CHECK(!runOn(context, store.transact(put("/l/y", "1", *lease))));
+                const auto ended = runOn(context, store.keepAlive(*lease));
+                REQUIRE(ended);
+                CHECK(*ended == duration(0));
+            }
+        }
+    }
+    SUBCASE("that loses the answer to the next write, after its effect")
+    {
+        CHECK(control(R"({"lose_next":1})") == 200);
+        const auto written = runOn(context, store.transact(put("/a/x", "1")));
+        REQUIRE(!written);
+        CHECK(written.error().outcome == verdict::may_have_run);
+        const auto read = runOn(context, store.readKey("/a/x"));
+        REQUIRE(read);
+        CHECK(read->entries.size() == 1);
+        CHECK(account().at("answers_lost").to_number<int>() == 1);
+    }
+    SUBCASE("that stays silent on a connection that worked before")
+    {
+        REQUIRE(runOn(context, store.readKey("/a/x")));
+        CHECK(control(R"({"outage":"silent"})") == 200);
+        const auto silent = runOn(context, store.readKey("/a/x"));
+        REQUIRE(!silent);
+        CHECK(silent.error().failure == store_failure::timed_out);
+        CHECK(events.value("store_connections_lost") == 1);
+        SUBCASE("and answers on a new one")
+        {
+            CHECK(control(R"({"outage":"none"})") == 200);
+            CHECK(runOn(context, store.readKey("/a/x")));
+        }
+    }
+    SUBCASE("that closes every connection")
+    {
+        CHECK(control(R"({"outage":"refused"})") == 200);
+        CHECK(!runOn(context, store.readKey("/a/x")));
+        CHECK(!runOn(context, store.waitForChange("/a/", 0, duration(1000))));
+    }
+    SUBCASE("that nothing listens for, and surely ran nothing")
+    {
+        etcd_store nobody({ closed_address }, call_timeout, events);
+        const auto written = runOn(context, nobody.transact(put("/a/x", "1")));
+        REQUIRE(!written);
+        CHECK(written.error().outcome == verdict::not_run);
+        SUBCASE("and goes on to the next address")
+        {
+            etcd_store two({ closed_address, store_address }, call_timeout, events);
+            CHECK(!runOn(context, two.readKey("/a/x")));
+            CHECK(runOn(context, two.readKey("/a/x")));
+        }
+    }
+    SUBCASE("that answers with errors")
+    {
+        CHECK(control(R"({"error_permille":1000})") == 200);
+        CHECK(!runOn(context, store.readKey("/a/x")));
+    }
+    SUBCASE("whose faults are switched wrongly, and stay as they were")
+    {
+        CHECK(control(R"({"outage":"maybe"})") == 400);
+        CHECK(control(R"({"latency_ms":-1})") == 400);
+        CHECK(control("nonsense") == 400);
+        CHECK(runOn(context, store.readKey("/a/x")));
+    }
+    SUBCASE("and a malformed call is refused and changes nothing")
+    {
+        for (const char *body : { "", "[]", "{}", R"({"compare":1,"success":[]})",
+                                  R"({"compare":[],"success":[{"request_put":7}]})" }) {
+            const auto reply = runOn(context,
+                                     exchangeOnce(store_address, { "POST", "/v3/kv/txn", body },
+                                                  millis_clock::now() + call_timeout));
+            REQUIRE(reply);
+            CHECK(reply->status == 400);
+        }
+        const auto read = runOn(context, store.readPrefix("/"));
+        REQUIRE(read);
+        CHECK(read->revision == 1);
+    }
+    server.stopAccepting();
+}
--- /dev/null
+++ b/gooseberrymoor/store/key_value_store.cpp
@@ -0,0 +1,38 @@
+#include "gooseberrymoor/store/key_value_store.h"
+
+namespace gooseberrymoor {
+
+namespace {
+
+store_error notOffered()
+{
+    return { store_failure::unavailable, verdict::not_run, "not offered by this store" };
+}
+
+} // namespace
+
+asio::awaitable<tl::expected<store_read, store_error>> key_value_store::readKey(std::string key)
+{
+    auto read = co_await readPrefix(key);
+    if (read)
+        std::erase_if(read->entries, [&key](const store_entry &each) { return each.key != key; });
+    co_return read;
+}
+
+asio::awaitable<tl::expected<std::int64_t, store_error>> key_value_store::grantLease(duration)
+{
+    co_return tl::unexpected(notOffered());
+}
+
+asio::awaitable<tl::expected<duration, store_error>> key_value_store::keepAlive(std::int64_t)
+{
+    co_return tl::unexpected(notOffered());
+}
+
+asio::awaitable<tl::expected<bool, store_error>>
+key_value_store::waitForChange(std::string, std::int64_t, duration)
+{
+    co_return tl::unexpected(notOffered());
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/testing/store_stand_in/store_handler.cpp
@@ -0,0 +1,220 @@
+#include "store_handler.h"
+
+#include "gooseberrymoor/base/timer.h"
+#include "gooseberrymoor/http/http_body_source.h"
+#include "gooseberrymoor/http/refusal.h"
+
+#include <boost/json.hpp>
+
+namespace json = boost::json;
+namespace asio = gooseberrymoor::asio;
+using gooseberrymoor::duration;
+using gooseberrymoor::error_kind;
+using gooseberrymoor::http_reply;
+using gooseberrymoor::http_request;
+using gooseberrymoor::millis_clock;
+using gooseberrymoor::time_point;
+using gooseberrymoor::verdict;
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_unavailable = 503;
+constexpr duration longest_watch { 30'000 };
+constexpr duration lease_check { 200 };
+constexpr duration silence_check { 100 };
+constexpr double milliseconds_per_second = 1000;
+
+bool isWrite(call_kind kind)
+{
+    return kind == call_kind::transaction || kind == call_kind::lease_grant
+        || kind == call_kind::lease_keep_alive;
+}
+
+std::string messageOf(const std::string &text)
+{
+    return json::serialize(json::object { { "error", text } });
+}
+
+// The lines of one watch: its confirmation, then the first changes.
+class watch_lines : public gooseberrymoor::http_body_source
+{
+public:
+    watch_lines(store_handler &store, std::string body)
+        : m_store(store), m_body(std::move(body)) { }
+
+    asio::awaitable<std::optional<std::string>> next() override
+    {
+        ++m_sent;
+        if (m_sent == 1)
+            co_return m_store.watchCreated();
+        std::string changes;
+        if (m_sent == 2)
+            changes = co_await m_store.nextChanges(m_body);
+        if (changes.empty())
+            co_return std::nullopt;
+        co_return changes;
+    }
+
+private:
+    store_handler &m_store;
+    std::string m_body;
+    int m_sent = 0;
+};
+
+} // namespace
+
+store_handler::store_handler(asio::any_io_executor executor, std::uint32_t seed)
+    : m_random(seed), m_changed(std::move(executor)), m_since(millis_clock::now())
+{
+}
+
+asio::awaitable<http_reply> store_handler::handle(http_request request)
+{
+    if (request.path == "/control" || request.path == "/account")
+        co_return handleControl(request);
+    const auto kind = gooseberrymoor::fromName<call_kind>(request.path);
+    if (!kind)
+        co_return refuse(error_kind::bad_request);
+    co_return co_await call(*kind, std::move(request.body));
+}
+
+http_reply store_handler::refuse(error_kind kind)
+{
+    return gooseberrymoor::toReply({ kind, verdict::not_run, "" });
+}
+
+asio::awaitable<http_reply> store_handler::call(call_kind kind, std::string body)
+{
+    http_reply gone(status_unavailable, messageOf("out of service"));
+    gone.closeAfter = true;
+    ++m_calls[static_cast<std::size_t>(kind)];
+    co_await pause(m_faults.latency);
+    if (m_faults.outage == outage_kind::refused)
+        co_return gone;
+    if (m_faults.outage == outage_kind::silent)
+        co_return co_await neverAnswer();
+    if (m_faults.refuses(m_random))
+        co_return http_reply(status_unavailable, messageOf("overloaded"));
+    http_reply answer(status_ok, "");
+    try {
+        if (m_state.endLeases(millis_clock::now()))
+            m_changed.notify();
+        answer = kind == call_kind::watch ? watch(std::move(body))
+                                          : http_reply(status_ok, apply(kind, body));
+    } catch (const std::exception &error) {
+        ++m_malformed;
+        co_return http_reply(status_bad_request, messageOf(error.what()));
+    }
+    if (isWrite(kind) && m_faults.losesAnswer(m_random)) {
+        ++m_lost;
+        co_return co_await neverAnswer();
+    }
+    co_await pause(m_faults.slowness);
+    co_return answer;
+}
+
+std::string store_handler::apply(call_kind kind, const std::string &body)
+{
+    switch (kind) {
+    case call_kind::range:
+        return m_state.range(body);
+    case call_kind::lease_grant:
+        return m_state.grantLease(body, millis_clock::now());
+    case call_kind::lease_keep_alive:
+        return m_state.keepAlive(body, millis_clock::now());
+    case call_kind::transaction: {
+        std::string answer = m_state.transact(body);
+        m_changed.notify();
+        return answer;
+    }
+    case call_kind::watch:
+        break;
+    }
+    return "";
+}
+
+http_reply store_handler::watch(std::string body)
+{
+    m_state.changes(body); // throws if the body is malformed
+    http_reply reply(status_ok, "");
+    reply.pieces = std::make_shared<watch_lines>(*this, std::move(body));
+    return reply;
+}
+
+asio::awaitable<std::string> store_handler::nextChanges(std::string body)
+{
+    const time_point end = millis_clock::now() + longest_watch;
+    std::string changes = m_state.changes(body);
+    ++m_watching;
+    while (changes.empty() && millis_clock::now() < end
+           && m_faults.outage != outage_kind::refused) {
+        co_await m_changed.wait(std::min(end, millis_clock::now() + lease_check));
+        m_state.endLeases(millis_clock::now());
+        if (m_faults.outage == outage_kind::none)
+            changes = m_state.changes(body);
+    }
+    --m_watching;
+    co_return changes;
+}
+
+asio::awaitable<void> store_handler::pause(duration time)
+{
+    if (time <= duration(0))
+        co_return;
+    gooseberrymoor::timer wait(co_await asio::this_coro::executor, millis_clock::now() + time);
+    co_await wait.async_wait(gooseberrymoor::as_result);
+}
+
+// Keeps the caller waiting for as long as a call may last, then closes the connection.
+asio::awaitable<http_reply> store_handler::neverAnswer()
+{
+    const time_point end = millis_clock::now() + longest_watch;
+    while (millis_clock::now() < end)
+        co_await pause(silence_check);
+    http_reply gone(status_unavailable, messageOf("no answer"));
+    gone.closeAfter = true;
+    co_return gone;
+}
+
+http_reply store_handler::handleControl(const http_request &request)
+{
+    if (request.path == "/control" && request.method == "POST")
+        return control(request.body);
+    if (request.path == "/account")
+        return http_reply(status_ok, account());
+    return refuse(error_kind::bad_request);
+}
+
+http_reply store_handler::control(const std::string &body)
+{
+    const auto applied = m_faults.apply(body);
+    m_changed.notify();
+    if (!applied)
+        return http_reply(status_bad_request, messageOf(applied.error()));
+    return http_reply(status_ok, "{}");
+}
+
+std::string store_handler::account() const
+{
+    json::object calls;
+    std::uint64_t reads = 0;
+    std::uint64_t writes = 0;
+    for (const auto &[kind, name] : names(call_kind {})) {
+        const std::uint64_t count = m_calls[static_cast<std::size_t>(kind)];
+        calls[name] = count;
+        (isWrite(kind) ? writes : reads) += count;
+    }
+    const double seconds
+        = static_cast<double>((millis_clock::now() - m_since).count()) / milliseconds_per_second;
+    return json::serialize(json::object {
+        { "calls", calls },
+        { "reads", reads },
+        { "writes", writes },
+        { "reads_per_second", static_cast<double>(reads) / std::max(seconds, 1.0) },
+        { "writes_per_second", static_cast<double>(writes) / std::max(seconds, 1.0) },
+        { "watching", m_watching },
+        { "answers_lost", m_lost },
+        { "malformed", m_malformed } });
+}
--- /dev/null
+++ b/testing/store_stand_in/store_handler.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "store_faults.h"
+#include "store_state.h"
+
+#include "gooseberrymoor/base/signal.h"
+#include "gooseberrymoor/http/http_handler.h"
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+// What a call to the stand-in does.
+enum class call_kind {
+    range,
+    transaction,
+    lease_grant,
+    lease_keep_alive,
+    watch,
+};
+
+constexpr gooseberrymoor::name_table<call_kind, 5> names(call_kind)
+{
+    return { { { call_kind::range, "/v3/kv/range" },
+               { call_kind::transaction, "/v3/kv/txn" },
+               { call_kind::lease_grant, "/v3/lease/grant" },
+               { call_kind::lease_keep_alive, "/v3/lease/keepalive" },
+               { call_kind::watch, "/v3/watch" } } };
+}
+
+// Answers the calls of the etcd v3 JSON form with the faults that are switched on, and
+// POST /control and GET /account besides. Not thread-safe.
+class store_handler : public gooseberrymoor::http_handler
+{
+public:
+    // `seed` draws which calls a share of faults meets.
+    store_handler(gooseberrymoor::asio::any_io_executor executor, std::uint32_t seed);
+
+    gooseberrymoor::asio::awaitable<gooseberrymoor::http_reply>
+    handle(gooseberrymoor::http_request request) override;
+    gooseberrymoor::http_reply refuse(gooseberrymoor::error_kind kind) override;
+    bool openConnection() override { return m_faults.outage != outage_kind::refused; }
+
+    // Answers POST /control and GET /account only.
+    gooseberrymoor::http_reply handleControl(const gooseberrymoor::http_request &request);
+
+    // The next line of a watch, whose body was `body`: empty once the watch has lasted long
+    // enough or the store went out of service.
+    gooseberrymoor::asio::awaitable<std::string> nextChanges(std::string body);
+
+    // The line that confirms a watch.
+    std::string watchCreated() const { return m_state.watchCreated(); }
+
+private:
+    gooseberrymoor::asio::awaitable<gooseberrymoor::http_reply> call(call_kind kind,
+                                                                     std::string body);
+    gooseberrymoor::http_reply watch(std::string body);
+    gooseberrymoor::asio::awaitable<void> pause(gooseberrymoor::duration time);
+    gooseberrymoor::asio::awaitable<gooseberrymoor::http_reply> neverAnswer();
+    std::string apply(call_kind kind, const std::string &body);
+    gooseberrymoor::http_reply control(const std::string &body);
+    std::string account() const;
+
+    static constexpr std::size_t kinds = names(call_kind {}).size();
+
+    store_state m_state;
+    store_faults m_faults;
+    std::minstd_rand m_random;
+    gooseberrymoor::signal m_changed;
+    gooseberrymoor::time_point m_since;
+    std::array<std::uint64_t, kinds> m_calls {};
+    std::uint64_t m_lost = 0;
+    std::uint64_t m_malformed = 0;
+    int m_watching = 0;
+};
