Spread configurations from a few readers of the store over the peers

Cause: every node read the whole configuration from the store each second, a restarted node in an outage had none, a malformed one went unseen, and a node that heard nobody went on serving. Ruled out: every node a watch (9 calls a second in each cell of 9 at watches of a second), pushing the whole text to every peer (each node would get it from all others), ranking without regard to who reaches the store (30 s until the others read when all readers are cut off). Change: configuration_spread decides who watches the store, when to read, what peers are told and asked, whether a node is as new as its peers, and whether it is isolated; follower, relay and intake carry it out. Settings: node.seed_peers, store.slow_poll_ms, watch_ms, readers, configuration.announce_ms, isolation_ms.

--- a/gooseberrymoor/configuration/configuration_follower.cpp
+++ b/gooseberrymoor/configuration/configuration_follower.cpp
@@ -1,8 +1,10 @@
 #include "gooseberrymoor/configuration/configuration_follower.h"
 
 #include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/configuration/configuration.h"
 #include "gooseberrymoor/configuration/configuration_codec.h"
-#include "gooseberrymoor/configuration/configuration_holder.h"
+#include "gooseberrymoor/configuration/configuration_intake.h"
+#include "gooseberrymoor/configuration/configuration_spread.h"
 #include "gooseberrymoor/store/key_value_store.h"
 
 namespace gooseberrymoor {
@@ -31,9 +33,9 @@
 
 configuration_follower::configuration_follower(asio::any_io_executor executor,
                                                key_value_store &store, configuration_keys keys,
-                                               configuration_holder &holder, duration poll,
-                                               counters &events)
-    : m_store(store), m_keys(std::move(keys)), m_holder(holder), m_poll(poll), m_events(events),
+                                               configuration_intake &intake,
+                                               configuration_spread &spread, counters &events)
+    : m_store(store), m_keys(std::move(keys)), m_intake(intake), m_spread(spread), m_events(events),
       m_wake(std::move(executor))
 {
 }
@@ -41,9 +43,18 @@
 asio::awaitable<void> configuration_follower::run()
 {
     while (!m_stopped) {
-        co_await readOnce();
-        if (!m_stopped)
-            co_await m_wake.wait(millis_clock::now() + m_poll);
+        const store_plan plan = m_spread.nextDuty(millis_clock::now());
+        switch (plan.duty) {
+        case store_duty::wait:
+            co_await m_wake.wait(plan.until);
+            break;
+        case store_duty::read:
+            co_await readOnce();
+            break;
+        case store_duty::watch:
+            co_await watchOnce(plan.until);
+            break;
+        }
     }
 }
 
@@ -55,17 +66,32 @@
 
 asio::awaitable<void> configuration_follower::readOnce()
 {
+    m_events.add("configuration_reads");
     const auto read = co_await m_store.readPrefix(m_keys.root());
-    if (!read)
+    const time_point now = millis_clock::now();
+    if (!read) {
+        m_spread.onStoreFailure(now);
         co_return;
-    m_lastAnswer = millis_clock::now();
-    auto next = configurationFrom(*read, m_keys);
-    if (!next) {
-        m_events.add("configuration_malformed");
+    }
+    m_lastAnswer = now;
+    m_seenRevision = read->revision;
+    m_spread.onRead(now);
+    m_intake.offer(*read);
+}
+
+asio::awaitable<void> configuration_follower::watchOnce(time_point until)
+{
+    m_events.add("configuration_watches");
+    const time_point began = millis_clock::now();
+    const auto changed
+        = co_await m_store.waitForChange(m_keys.root(), m_seenRevision, until - began);
+    const time_point now = millis_clock::now();
+    if (!changed) {
+        m_spread.onStoreFailure(now);
         co_return;
     }
-    if (m_holder.offer(std::move(*next)))
-        m_events.add("configuration_changes");
+    m_lastAnswer = *changed ? now : began;
+    m_spread.onWatch(*changed, began, now);
 }
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/configuration/configuration_follower.h
+++ b/gooseberrymoor/configuration/configuration_follower.h
@@ -7,11 +7,13 @@
 
 #include <tl/expected.hpp>
 
+#include <cstdint>
 #include <string>
 
 namespace gooseberrymoor {
 
-class configuration_holder;
+class configuration_intake;
+class configuration_spread;
 class counters;
 class key_value_store;
 struct configuration;
@@ -21,19 +23,20 @@
 tl::expected<configuration, std::string> configurationFrom(const store_read &read,
                                                            const configuration_keys &keys);
 
-// Keeps a node's configuration up to date with the store. Not thread-safe.
+// Keeps a node's configuration up to date with the store: one task that waits, reads or watches
+// as `configuration_spread` decides, one call at a time. Not thread-safe.
 class configuration_follower
 {
 public:
     // All references must outlive the follower.
     configuration_follower(asio::any_io_executor executor, key_value_store &store,
-                           configuration_keys keys, configuration_holder &holder, duration poll,
-                           counters &events);
+                           configuration_keys keys, configuration_intake &intake,
+                           configuration_spread &spread, counters &events);
 
-    // Reads the store again and again until `stop`.
+    // Follows the store until `stop`.
     asio::awaitable<void> run();
 
-    // Ends `run` at its next wait.
+    // Ends `run` at its next wait, or after the call that it waits for.
     void stop();
 
     // When the store last answered; the clock's zero before the first answer.
@@ -41,14 +44,16 @@
 
 private:
     asio::awaitable<void> readOnce();
+    asio::awaitable<void> watchOnce(time_point until);
 
     key_value_store &m_store;
     configuration_keys m_keys;
-    configuration_holder &m_holder;
-    duration m_poll;
+    configuration_intake &m_intake;
+    configuration_spread &m_spread;
     counters &m_events;
     signal m_wake;
     time_point m_lastAnswer {};
+    std::int64_t m_seenRevision = 0; // of the store, at the last read
     bool m_stopped = false;
 };
 
--- /dev/null
+++ b/gooseberrymoor/configuration/configuration_relay.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "gooseberrymoor/base/millis_clock.h"
+#include "gooseberrymoor/base/net.h"
+#include "gooseberrymoor/base/signal.h"
+#include "gooseberrymoor/configuration/configuration_listener.h"
+#include "gooseberrymoor/peer/frame_handler.h"
+
+#include <memory>
+
+namespace gooseberrymoor {
+
+class configuration_intake;
+class configuration_spread;
+class counters;
+class peer_network;
+struct configuration_message;
+
+// Tells the peers which configuration is in force here, and takes newer ones from them.
+// Not thread-safe.
+class configuration_relay : public frame_handler, public configuration_listener
+{
+public:
+    // References must outlive the relay. It announces every `interval`.
+    configuration_relay(asio::any_io_executor executor, configuration_intake &intake,
+                        configuration_spread &spread, peer_network &network, duration interval,
+                        counters &events);
+
+    // Announces again and again until `stop`.
+    asio::awaitable<void> run();
+
+    // Ends `run` at its next wait.
+    void stop();
+
+    bool onFrame(const std::shared_ptr<peer_channel> &channel, const frame &message) override;
+    void onChannelClosed(const std::shared_ptr<peer_channel> &) override { }
+    void onConfigurationInForce() override;
+
+private:
+    void announceToAll();
+    void send(peer_channel &channel, const configuration_message &message);
+
+    configuration_intake &m_intake;
+    configuration_spread &m_spread;
+    peer_network &m_network;
+    duration m_interval;
+    counters &m_events;
+    signal m_wake;
+    bool m_stopped = false;
+};
+
+} // namespace gooseberrymoor
--- a/gooseberrymoor/entry/entry_admission.h
+++ b/gooseberrymoor/entry/entry_admission.h
@@ -11,14 +11,16 @@
 enum class entry_phase {
     starting, // no configuration yet
     ready,
+    isolated, // hears neither the store nor a peer: takes nothing new
     leaving, // withdrawn from the directory, still serves
     closed, // refuses all that is new
 };
 
-constexpr name_table<entry_phase, 4> names(entry_phase)
+constexpr name_table<entry_phase, 5> names(entry_phase)
 {
     return { { { entry_phase::starting, "starting" },
                { entry_phase::ready, "ready" },
+               { entry_phase::isolated, "isolated" },
                { entry_phase::leaving, "leaving" },
                { entry_phase::closed, "closed" } } };
 }
@@ -38,6 +40,9 @@
         if (m_phase == entry_phase::starting)
             return request_error { error_kind::not_ready, verdict::not_run,
                                    "no configuration yet" };
+        if (m_phase == entry_phase::isolated)
+            return request_error { error_kind::not_ready, verdict::not_run,
+                                   "hears neither the store nor its peers" };
         if (m_phase == entry_phase::closed)
             return request_error { error_kind::draining, verdict::not_run, "the node is leaving" };
         if (running >= m_maxQueries)
--- a/gooseberrymoor/node/node.cpp
+++ b/gooseberrymoor/node/node.cpp
@@ -22,6 +22,19 @@
     return std::uniform_int_distribution<std::uint64_t>()(source);
 }
 
+spread_timing timingFrom(const node_settings &settings)
+{
+    spread_timing timing;
+    timing.readers = settings.storeReaders;
+    timing.poll = settings.storePoll;
+    timing.slowPoll = settings.storeSlowPoll;
+    timing.watch = settings.storeWatch;
+    timing.call = settings.storeTimeout;
+    timing.announce = settings.announce;
+    timing.isolation = settings.isolation;
+    return timing;
+}
+
 member memberFrom(const node_settings &settings)
 {
     return { settings.name,        randomNumber(),        settings.availabilityZone,
@@ -33,9 +46,13 @@
 node::node(asio::any_io_executor executor, node_settings settings, event_log &log)
     : m_executor(executor), m_settings(std::move(settings)), m_log(log),
       m_store(m_settings.storeAddresses, m_settings.storeTimeout, m_events),
-      m_follower(executor, m_store, configuration_keys(m_settings.cell), m_configurations,
-                 m_settings.storePoll, m_events),
+      m_spread(m_settings.name, timingFrom(m_settings), static_cast<std::uint32_t>(randomNumber()),
+               millis_clock::now()),
+      m_intake(configuration_keys(m_settings.cell), m_configurations, m_spread, m_events),
+      m_follower(executor, m_store, configuration_keys(m_settings.cell), m_intake, m_spread,
+                 m_events),
       m_network(executor, m_settings.name, m_settings.cell, m_events),
+      m_relay(executor, m_intake, m_spread, m_network, m_settings.announce, m_events),
       m_membership(executor, m_store, m_settings.cell, memberFrom(m_settings), m_settings.storePoll,
                    m_network, m_events),
       m_owner(
@@ -43,8 +60,8 @@
       m_leafServer(m_owner), m_gateway(m_settings.name, m_network, m_owner, m_events),
       m_selector(randomNumber()), m_hedging(fixed_hedge_delay, m_settings.hedgePercent),
       m_runner(m_gateway, m_selector, m_hedging), m_admission(m_settings.maxQueries),
-      m_report({ m_settings, m_events, m_configurations, m_membership, m_network, m_owner, m_runner,
-                 m_gateway, m_admission }),
+      m_report({ m_settings, m_events, m_configurations, m_intake, m_spread, m_membership,
+                 m_network, m_owner, m_runner, m_gateway, m_admission }),
       m_handler(
           m_runner, m_admission, [this] { return directoryEntries(); }, m_settings.directoryTtl,
           timeout_limits { m_settings.defaultTimeout, m_settings.maxTimeout }, m_report, m_events),
@@ -54,6 +71,8 @@
     m_network.setHandler(message_kind::leaf_request, m_leafServer);
     m_network.setHandler(message_kind::leaf_cancel, m_leafServer);
     m_network.setHandler(message_kind::leaf_response, m_gateway);
+    m_network.setHandler(message_kind::configuration_update, m_relay);
+    m_intake.addListener(m_relay);
     m_membership.addListener(*this);
 }
 
@@ -63,7 +82,9 @@
         return opened;
     if (auto opened = m_server.start(m_settings.entryAddress); !opened)
         return opened;
+    dialSeedPeers();
     startTask(m_executor, m_events, "configuration", m_follower.run());
+    startTask(m_executor, m_events, "relay", m_relay.run());
     startTask(m_executor, m_events, "membership", m_membership.run());
     startTask(m_executor, m_events, "changes", followConfiguration());
     m_log.write("node_started",
@@ -89,6 +110,7 @@
     co_await m_membership.leave(millis_clock::now() + store_patience);
     m_stopped = true;
     m_follower.stop();
+    m_relay.stop();
     m_membership.stop();
     m_network.stop();
     m_wake.notify();
@@ -113,6 +135,8 @@
                         { { "revision", std::to_string(current->revision) } });
             applyChanges();
         }
+        logConfigurationFault();
+        updatePhase();
         co_await m_wake.wait(millis_clock::now() + change_check);
     }
 }
@@ -122,9 +146,44 @@
     const auto current = m_configurations.current();
     m_owner.update(*current);
     m_runner.setRoutes(std::make_shared<routing_table>(current, m_membership.view()));
-    if (m_admission.phase() == entry_phase::starting && current->revision > 0
-        && m_membership.isMember())
+    updatePhase();
+}
+
+// Until a view is known: the view's peers take the place of these.
+void node::dialSeedPeers()
+{
+    std::map<std::string, endpoint> seeds;
+    for (const endpoint &address : m_settings.seedPeers) {
+        if (address != m_settings.peerAddress)
+            seeds["seed " + toString(address)] = address;
+    }
+    m_network.setPeers(std::move(seeds));
+}
+
+void node::updatePhase()
+{
+    const entry_phase phase = m_admission.phase();
+    const bool isolated = m_spread.isIsolated(millis_clock::now());
+    if (phase == entry_phase::starting && m_spread.isCurrent() && m_membership.isMember()) {
         m_admission.setPhase(entry_phase::ready);
+    } else if (phase == entry_phase::ready && isolated) {
+        m_admission.setPhase(entry_phase::isolated);
+        m_log.write("node_isolated", { { "reason", "neither store nor peers were heard" } });
+    } else if (phase == entry_phase::isolated && !isolated) {
+        m_admission.setPhase(entry_phase::starting); // until it is as new as its peers again
+        m_log.write("node_heard_again", {});
+    }
+}
+
+void node::logConfigurationFault()
+{
+    if (m_intake.fault() == m_loggedFault)
+        return;
+    m_loggedFault = m_intake.fault();
+    if (m_loggedFault.empty())
+        m_log.write("configuration_mended", {});
+    else
+        m_log.write("configuration_refused", { { "reason", m_loggedFault } });
 }
 
 std::vector<endpoint> node::directoryEntries() const
--- a/gooseberrymoor/node/node.h
+++ b/gooseberrymoor/node/node.h
@@ -6,6 +6,9 @@
 #include "gooseberrymoor/base/signal.h"
 #include "gooseberrymoor/configuration/configuration_follower.h"
 #include "gooseberrymoor/configuration/configuration_holder.h"
+#include "gooseberrymoor/configuration/configuration_intake.h"
+#include "gooseberrymoor/configuration/configuration_relay.h"
+#include "gooseberrymoor/configuration/configuration_spread.h"
 #include "gooseberrymoor/entry/entry_admission.h"
 #include "gooseberrymoor/entry/entry_handler.h"
 #include "gooseberrymoor/http/http_server.h"
@@ -49,6 +52,9 @@
 private:
     asio::awaitable<void> followConfiguration();
     void applyChanges();
+    void dialSeedPeers();
+    void updatePhase();
+    void logConfigurationFault();
     std::vector<endpoint> directoryEntries() const;
     bool ownsTarget(std::string_view target) const;
     asio::awaitable<void> waitUntilIdle(time_point deadline);
@@ -59,8 +65,11 @@
     counters m_events;
     etcd_store m_store;
     configuration_holder m_configurations;
+    configuration_spread m_spread;
+    configuration_intake m_intake;
     configuration_follower m_follower;
     peer_network m_network;
+    configuration_relay m_relay;
     membership_keeper m_membership;
     target_owner m_owner;
     leaf_server m_leafServer;
@@ -74,6 +83,7 @@
     http_server m_server;
     signal m_wake;
     std::int64_t m_appliedRevision = 0;
+    std::string m_loggedFault;
     bool m_stopped = false;
 };
 
--- a/gooseberrymoor/node/state_report.h
+++ b/gooseberrymoor/node/state_report.h
@@ -5,6 +5,8 @@
 namespace gooseberrymoor {
 
 class configuration_holder;
+class configuration_intake;
+class configuration_spread;
 class counters;
 class entry_admission;
 class entry_handler;
@@ -21,6 +23,8 @@
     const node_settings &settings;
     const counters &events;
     const configuration_holder &configurations;
+    const configuration_intake &intake;
+    const configuration_spread &spread;
     const membership_keeper &membership;
     const peer_network &network;
     const target_owner &owner;
--- a/gooseberrymoor/settings/node_settings.cpp
+++ b/gooseberrymoor/settings/node_settings.cpp
@@ -16,6 +16,8 @@
 
 namespace {
 
+constexpr std::string_view no_addresses = "none";
+
 using checked = tl::expected<void, std::string>;
 
 std::optional<std::int64_t> parseNumber(const std::string &text)
@@ -72,6 +74,10 @@
         return {};
     case setting_kind::endpoint:
         return checkEndpoint(text);
+    case setting_kind::optional_endpoint_list:
+        if (text == no_addresses)
+            return {};
+        [[fallthrough]];
     case setting_kind::endpoint_list:
         for (const std::string &part : splitList(text)) {
             if (const auto result = checkEndpoint(part); !result)
@@ -117,6 +123,16 @@
     return parseNumber(textOf(document, section, key)).value_or(0);
 }
 
+std::vector<endpoint> optionalEndpoints(const std::string &text)
+{
+    std::vector<endpoint> endpoints;
+    if (text == no_addresses)
+        return endpoints;
+    for (const std::string &part : splitList(text))
+        endpoints.push_back(*parseEndpoint(part));
+    return endpoints;
+}
+
 node_settings toSettings(const ini_document &document)
 {
     node_settings settings;
@@ -127,6 +143,12 @@
     settings.entryAddress = *parseEndpoint(textOf(document, "node", "entry_address"));
     for (const std::string &part : splitList(textOf(document, "store", "addresses")))
         settings.storeAddresses.push_back(*parseEndpoint(part));
+    settings.seedPeers = optionalEndpoints(textOf(document, "node", "seed_peers"));
+    settings.storeSlowPoll = millisOf(document, "store", "slow_poll_ms");
+    settings.storeWatch = millisOf(document, "store", "watch_ms");
+    settings.storeReaders = static_cast<int>(numberOf(document, "store", "readers"));
+    settings.announce = millisOf(document, "configuration", "announce_ms");
+    settings.isolation = millisOf(document, "configuration", "isolation_ms");
     settings.storePoll = millisOf(document, "store", "poll_ms");
     settings.storeTimeout = millisOf(document, "store", "timeout_ms");
     settings.heartbeat = millisOf(document, "membership", "heartbeat_ms");
--- a/gooseberrymoor/settings/node_settings.h
+++ b/gooseberrymoor/settings/node_settings.h
@@ -20,8 +20,14 @@
     std::string availabilityZone;
     endpoint peerAddress;
     endpoint entryAddress;
+    std::vector<endpoint> seedPeers;
     std::vector<endpoint> storeAddresses;
     duration storePoll {};
+    duration storeSlowPoll {};
+    duration storeWatch {};
+    int storeReaders = 0;
+    duration announce {};
+    duration isolation {};
     duration storeTimeout {};
     duration heartbeat {};
     duration lease {};
--- a/gooseberrymoor/settings/setting_key.cpp
+++ b/gooseberrymoor/settings/setting_key.cpp
@@ -9,6 +9,7 @@
 constexpr auto name = setting_kind::name;
 constexpr auto address = setting_kind::endpoint;
 constexpr auto addresses = setting_kind::endpoint_list;
+constexpr auto optionalAddresses = setting_kind::optional_endpoint_list;
 constexpr auto number = setting_kind::number;
 
 constexpr std::array settingTable {
@@ -19,12 +20,26 @@
     setting_key { "node", "peer_address", address, "", 0, 0, "", "Address for other nodes." },
     setting_key { "node", "entry_address", address, "", 0, 0, "",
                   "Address for callers and operators." },
+    setting_key { "node", "seed_peers", optionalAddresses, "none", 0, 0, "",
+                  "Addresses of other nodes' peer_address, asked for the configuration at a start "
+                  "while the store is down." },
     setting_key { "store", "addresses", addresses, "", 0, 0, "",
                   "Addresses of the platform's key-value service." },
     setting_key { "store", "poll_ms", number, "1000", 50, 60'000, "ms",
-                  "Time between two reads of the configuration." },
+                  "Time between two reads of the view, and first wait after a failed call." },
+    setting_key { "store", "slow_poll_ms", number, "30000", 1000, 600'000, "ms",
+                  "Time between two reads of the configuration by a node that relies on peers." },
+    setting_key { "store", "watch_ms", number, "3000", 100, 60'000, "ms",
+                  "Longest watch of the configuration, and longest wait after failed calls." },
+    setting_key { "store", "readers", number, "3", 1, 100, "nodes",
+                  "Live nodes of a cell that watch the configuration in the store." },
     setting_key { "store", "timeout_ms", number, "2000", 50, 60'000, "ms",
                   "Longest wait for one answer of the store." },
+    setting_key { "configuration", "announce_ms", number, "500", 50, 10'000, "ms",
+                  "Time between two announcements of the revision in force to a peer." },
+    setting_key { "configuration", "isolation_ms", number, "15000", 500, 600'000, "ms",
+                  "Time without a word from the store or a peer after which a node takes no new "
+                  "work." },
     setting_key { "membership", "heartbeat_ms", number, "500", 20, 10'000, "ms",
                   "Time between two heartbeats to a peer." },
     setting_key { "membership", "lease_ms", number, "3000", 100, 60'000, "ms",
--- a/gooseberrymoor/settings/setting_key.h
+++ b/gooseberrymoor/settings/setting_key.h
@@ -13,14 +13,16 @@
     name,
     endpoint,
     endpoint_list,
+    optional_endpoint_list, // "none" is empty
     number,
 };
 
-constexpr name_table<setting_kind, 4> names(setting_kind)
+constexpr name_table<setting_kind, 5> names(setting_kind)
 {
     return { { { setting_kind::name, "name" },
                { setting_kind::endpoint, "endpoint" },
                { setting_kind::endpoint_list, "endpoint_list" },
+               { setting_kind::optional_endpoint_list, "optional_endpoint_list" },
                { setting_kind::number, "number" } } };
 }
 
