Add the operators' commands as a table of classes over pure edits

Cause: operators had service put and dump only; all else was edited by hand. A change prints its revision and how many nodes have it in force. A watch ends at once when its node stops.

--- a/gooseberrymoor/configuration/configuration_codec.cpp
+++ b/gooseberrymoor/configuration/configuration_codec.cpp
@@ -211,6 +211,16 @@
     return decode(text, [](const json::value &value) { return serviceFrom(value.as_object()); });
 }
 
+std::string encodeSnapshot(const snapshot_config &snapshot)
+{
+    return json::serialize(toJson(snapshot));
+}
+
+tl::expected<snapshot_config, std::string> decodeSnapshot(const std::string &text)
+{
+    return decode(text, [](const json::value &value) { return snapshotFrom(value.as_object()); });
+}
+
 std::string encodeZones(const std::set<std::string> &zones)
 {
     json::array list;
--- a/gooseberrymoor/configuration/configuration_follower.cpp
+++ b/gooseberrymoor/configuration/configuration_follower.cpp
@@ -7,8 +7,17 @@
 #include "gooseberrymoor/configuration/configuration_spread.h"
 #include "gooseberrymoor/store/key_value_store.h"
 
+#include <boost/asio/experimental/awaitable_operators.hpp>
+
 namespace gooseberrymoor {
 
+namespace {
+
+using namespace asio::experimental::awaitable_operators;
+using watch_result = tl::expected<bool, store_error>;
+
+} // namespace
+
 tl::expected<configuration, std::string> configurationFrom(const store_read &read,
                                                            const configuration_keys &keys)
 {
@@ -83,15 +92,20 @@
 {
     m_events.add("configuration_watches");
     const time_point began = millis_clock::now();
-    const auto changed
-        = co_await m_store.waitForChange(m_keys.root(), m_seenRevision, until - began);
+    const auto ended = co_await (
+        m_store.waitForChange(m_keys.root(), m_seenRevision, until - began) || m_wake.wait());
+    if (m_stopped)
+        co_return;
+    const auto *changed = std::get_if<watch_result>(&ended);
+    if (!changed)
+        co_return;
     const time_point now = millis_clock::now();
-    if (!changed) {
+    if (!*changed) {
         m_spread.onStoreFailure(now);
         co_return;
     }
-    m_lastAnswer = *changed ? now : began;
-    m_spread.onWatch(*changed, began, now);
+    m_lastAnswer = **changed ? now : began;
+    m_spread.onWatch(**changed, began, now);
 }
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/configuration/configuration_follower.h
+++ b/gooseberrymoor/configuration/configuration_follower.h
@@ -36,7 +36,7 @@
     // Follows the store until `stop`.
     asio::awaitable<void> run();
 
-    // Ends `run` at its next wait, or after the call that it waits for.
+    // Ends `run` at its next wait or watch, or after the read that it waits for.
     void stop();
 
     // When the store last answered; the clock's zero before the first answer.
--- a/gooseberrymoor/configuration/configuration_message.cpp
+++ b/gooseberrymoor/configuration/configuration_message.cpp
@@ -11,8 +11,8 @@
     std::vector<flatbuffers::Offset<wire::configuration_entry>> rows;
     rows.reserve(message.entries.size());
     for (const store_entry &entry : message.entries) {
-        rows.push_back(
-            wire::Createconfiguration_entry(builder, builder.CreateString(entry.key), builder.CreateString(entry.value)));
+        rows.push_back(wire::Createconfiguration_entry(builder, builder.CreateString(entry.key),
+                                                       builder.CreateString(entry.value)));
     }
     const auto entries = rows.empty() ? 0 : builder.CreateVector(rows);
     builder.Finish(wire::Createconfiguration_update(builder, message.revision, message.asks,
--- a/gooseberrymoor/operators/operator_commands.cpp
+++ b/gooseberrymoor/operators/operator_commands.cpp
@@ -1,117 +1,65 @@
 #include "gooseberrymoor/operators/operator_commands.h"
 
-#include "gooseberrymoor/base/counters.h"
-#include "gooseberrymoor/configuration/configuration.h"
-#include "gooseberrymoor/configuration/configuration_codec.h"
-#include "gooseberrymoor/configuration/configuration_follower.h"
-#include "gooseberrymoor/configuration/configuration_writer.h"
-#include "gooseberrymoor/configuration/service_config.h"
-#include "gooseberrymoor/http/http_connection.h"
-#include "gooseberrymoor/store/etcd_store.h"
+#include "gooseberrymoor/operators/dump_command.h"
+#include "gooseberrymoor/operators/limits_command.h"
+#include "gooseberrymoor/operators/service_command.h"
+#include "gooseberrymoor/operators/settings_command.h"
+#include "gooseberrymoor/operators/snapshot_command.h"
+#include "gooseberrymoor/operators/status_command.h"
+#include "gooseberrymoor/operators/target_command.h"
+#include "gooseberrymoor/operators/version_command.h"
+#include "gooseberrymoor/operators/zone_command.h"
 
 #include <boost/asio/io_context.hpp>
 #include <docopt/docopt.h>
 
-#include <fstream>
 #include <iostream>
-#include <sstream>
+#include <memory>
+#include <vector>
 
 namespace gooseberrymoor {
 
 namespace {
 
-constexpr int exit_done = 0;
-constexpr int exit_failed = 1;
-constexpr int exit_bad_input = 2;
-constexpr int exit_conflict = 3;
-constexpr int exit_unknown = 4;
-constexpr duration call_timeout { 3000 };
+using command_list = std::vector<std::unique_ptr<operator_command>>;
 
-using arguments_map = std::map<std::string, docopt::value>;
+// One line a command; a new one is added here and in the usage text.
+command_list allCommands()
+{
+    command_list commands;
+    commands.push_back(std::make_unique<settings_command>());
+    commands.push_back(std::make_unique<service_command>());
+    commands.push_back(std::make_unique<target_command>());
+    commands.push_back(std::make_unique<limits_command>());
+    commands.push_back(std::make_unique<version_command>());
+    commands.push_back(std::make_unique<snapshot_command>());
+    commands.push_back(std::make_unique<zone_command>());
+    commands.push_back(std::make_unique<status_command>());
+    commands.push_back(std::make_unique<dump_command>());
+    return commands;
+}
 
-// Runs one task to its end on an executor of its own.
-template <typename Task> int runToEnd(Task task)
+// Runs one command to its end on an executor of its own.
+exit_code runToEnd(operator_command &command, const command_arguments &arguments)
 {
     asio::io_context context(1);
-    int code = exit_failed;
-    asio::co_spawn(context, std::move(task), [&code](std::exception_ptr failure, int result) {
-        if (!failure)
-            code = result;
-    });
+    exit_code code = exit_code::failed;
+    asio::co_spawn(context, command.run(arguments),
+                   [&](std::exception_ptr failure, exit_code result) {
+                       if (!failure) {
+                           code = result;
+                           return;
+                       }
+                       try {
+                           std::rethrow_exception(failure);
+                       } catch (const std::exception &error) {
+                           std::cerr << "failed: " << error.what() << "\n";
+                       }
+                   });
     context.run();
     return code;
 }
 
-int report(const change_result &result)
-{
-    std::cout << nameOf(result.state) << " revision " << result.revision;
-    if (!result.detail.empty())
-        std::cout << " " << result.detail;
-    std::cout << "\n";
-    switch (result.state) {
-    case change_state::accepted:
-        return exit_done;
-    case change_state::conflict:
-        return exit_conflict;
-    case change_state::unknown:
-        return exit_unknown;
-    case change_state::not_accepted:
-        return exit_failed;
-    }
-    return exit_failed;
-}
-
-std::vector<store_put> putsFor(const configuration_keys &keys, const service_config &service)
-{
-    return { { keys.service(service.name), encodeService(service), 0 } };
-}
-
-asio::awaitable<int> putService(endpoint storeAddress, std::string cell, std::string text)
-{
-    const auto service = decodeService(text);
-    if (!service) {
-        std::cerr << "the service is not valid: " << service.error() << "\n";
-        co_return exit_bad_input;
-    }
-    counters events;
-    etcd_store store({ storeAddress }, call_timeout, events);
-    const configuration_keys keys(cell);
-    const auto read = co_await store.readPrefix(keys.root());
-    if (!read) {
-        std::cerr << "the store cannot be read: " << read.error().detail << "\n";
-        co_return exit_failed;
-    }
-    const auto current = configurationFrom(*read, keys);
-    if (!current) {
-        std::cerr << "the configuration is malformed: " << current.error() << "\n";
-        co_return exit_failed;
-    }
-    configuration_writer writer(store, keys, "operator");
-    co_return report(co_await writer.write(current->revision, putsFor(keys, *service)));
-}
-
-asio::awaitable<int> dumpNode(endpoint node)
-{
-    http_request request("GET", "/v1/dump");
-    const auto reply
-        = co_await exchangeOnce(node, std::move(request), millis_clock::now() + call_timeout);
-    if (!reply) {
-        std::cerr << "the node does not answer: " << reply.error().reason << "\n";
-        co_return exit_failed;
-    }
-    std::cout << reply->body << "\n";
-    co_return exit_done;
-}
-
-std::optional<endpoint> endpointArgument(const arguments_map &arguments, const std::string &name)
-{
-    const std::string text = arguments.at(name).asString();
-    const auto parsed = parseEndpoint(text);
-    if (!parsed)
-        std::cerr << name << ": \"" << text << "\" is no IP number with a port\n";
-    return parsed;
-}
-
 } // namespace
 
 const std::string &operatorUsage()
@@ -119,38 +67,59 @@
     static const std::string usage = R"(gooseberrymoor: operate a query tier.
 
 Usage:
-  gooseberrymoor service put FILE --store=ADDRESS [--cell=NAME]
+  gooseberrymoor settings check FILE
+  gooseberrymoor settings list
+  gooseberrymoor service list --store=ADDRESSES [options]
+  gooseberrymoor service show NAME --store=ADDRESSES [options]
+  gooseberrymoor service put FILE --store=ADDRESSES [options]
+  gooseberrymoor service remove NAME --store=ADDRESSES [options]
+  gooseberrymoor target add SERVICE GROUP NAME ADDRESS ZONE VERSION --store=ADDRESSES [options]
+  gooseberrymoor target remove SERVICE NAME --store=ADDRESSES [options]
+  gooseberrymoor target leave SERVICE NAME --store=ADDRESSES [options]
+  gooseberrymoor target return SERVICE NAME --store=ADDRESSES [options]
+  gooseberrymoor limits set SERVICE --store=ADDRESSES [--slots=N] [--connections=N] [--cold-slots=N] [--warmup-ms=N] [options]
+  gooseberrymoor version set SERVICE VERSION --store=ADDRESSES [--share=PERMILLE] [--block | --unblock] [options]
+  gooseberrymoor snapshot add SERVICE FILE --store=ADDRESSES [options]
+  gooseberrymoor snapshot remove SERVICE SNAPSHOT --store=ADDRESSES [options]
+  gooseberrymoor zone out ZONE --store=ADDRESSES [options]
+  gooseberrymoor zone in ZONE --store=ADDRESSES [options]
+  gooseberrymoor zone list --store=ADDRESSES [options]
+  gooseberrymoor status --store=ADDRESSES [options]
+  gooseberrymoor status --node=ADDRESS [options]
   gooseberrymoor dump --node=ADDRESS
   gooseberrymoor --help
 
 Options:
-  --store=ADDRESS  Address of the platform's key-value service, as IP:PORT.
-  --cell=NAME      Cell that is meant [default: main].
-  --node=ADDRESS   Entry address of a node, as IP:PORT.
-  --help           Show this text.
-
-Exit codes: 0 done, 1 failed, 2 bad input, 3 conflict with another change, 4 outcome unknown.
+  --store=ADDRESSES  Addresses of the platform's key-value service, as IP:PORT,IP:PORT.
+  --cell=NAME        Cell that is meant [default: main].
+  --author=NAME      Who makes the change, shown to other operators [default: operator].
+  --node=ADDRESS     Entry address of a node, as IP:PORT.
+  --wait-ms=N        How long a change waits until all nodes have it in force [default: 5000].
+  --json             Print JSON for programs.
+  --slots=N          Requests that a warm target may be given at one time.
+  --connections=N    Open connections to a target.
+  --cold-slots=N     Requests that a target in a cold start may be given at one time.
+  --warmup-ms=N      Time from cold to warm under answers in time.
+  --share=PERMILLE   Share of the service's traffic for a version, 0 to 1000.
+  --block            Give the version nothing.
+  --unblock          Give the version its share again.
+  --help             Show this text.
+
+Exit codes: 0 done, 1 failed and surely not taken, 2 bad input, 3 conflict with another change,
+4 outcome unknown: the change may be in force, now or later. `status` exits with 1 if a member does
+not answer or has an older revision in force.
 )";
     return usage;
 }
 
-int runOperatorCommand(const arguments_map &arguments)
+int runOperatorCommand(const std::map<std::string, docopt::value> &arguments)
 {
-    if (arguments.at("dump").asBool()) {
-        const auto node = endpointArgument(arguments, "--node");
-        return node ? runToEnd(dumpNode(*node)) : exit_bad_input;
-    }
-    const auto store = endpointArgument(arguments, "--store");
-    if (!store)
-        return exit_bad_input;
-    std::ifstream file(arguments.at("FILE").asString());
-    if (!file) {
-        std::cerr << arguments.at("FILE").asString() << ": cannot be read\n";
-        return exit_bad_input;
+    const command_arguments given(arguments);
+    for (const auto &command : allCommands()) {
+        if (given.has(std::string(command->word())))
+            return static_cast<int>(runToEnd(*command, given));
     }
-    std::ostringstream text;
-    text << file.rdbuf();
-    return runToEnd(putService(*store, arguments.at("--cell").asString(), text.str()));
+    return static_cast<int>(exit_code::bad_input);
 }
 
 } // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/operators/snapshot_command.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "gooseberrymoor/operators/edit_command.h"
+
+namespace gooseberrymoor {
+
+// `snapshot add|remove`: the snapshots of a service's index.
+class snapshot_command : public edit_command
+{
+public:
+    std::string_view word() const override { return "snapshot"; }
+
+protected:
+    tl::expected<configuration, std::string> edit(configuration before,
+                                                  const command_arguments &arguments) override;
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/operators/target_command.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "gooseberrymoor/operators/edit_command.h"
+
+namespace gooseberrymoor {
+
+// `target add|remove|leave|return`: the targets of a service.
+class target_command : public edit_command
+{
+public:
+    std::string_view word() const override { return "target"; }
+
+protected:
+    tl::expected<configuration, std::string> edit(configuration before,
+                                                  const command_arguments &arguments) override;
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/operators/zone_command.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "gooseberrymoor/operators/edit_command.h"
+
+namespace gooseberrymoor {
+
+// `zone out|in|list`: availability zones taken out of service.
+class zone_command : public edit_command
+{
+public:
+    std::string_view word() const override { return "zone"; }
+
+protected:
+    tl::expected<configuration, std::string> edit(configuration before,
+                                                  const command_arguments &arguments) override;
+    std::string listing(const configuration &current, const command_arguments &arguments) override;
+};
+
+} // namespace gooseberrymoor
