--- a/gooseberrymoor/configuration/configuration_follower.cpp
+++ b/gooseberrymoor/configuration/configuration_follower.cpp
@@ -92,8 +92,8 @@
 {
     m_events.add("configuration_watches");
     const time_point began = millis_clock::now();
-    const auto ended = co_await (
-        m_store.waitForChange(m_keys.root(), m_seenRevision, until - began) || m_wake.wait());
+    const auto ended = co_await (m_store.waitForChange(m_keys.root(), m_seenRevision, until - began)
+                                 || m_wake.wait());
     if (m_stopped)
         co_return;
     const auto *changed = std::get_if<watch_result>(&ended);
--- a/testing/store_stand_in/store_faults.h
+++ b/testing/store_stand_in/store_faults.h
@@ -28,8 +28,8 @@
     outage_kind outage = outage_kind::none;
     gooseberrymoor::duration latency {}; // added before each call takes effect
     gooseberrymoor::duration slowness {}; // added before each answer
-    int loseNext = 0; // answers to writes that are lost after their effect
-    int losePermille = 0; // share of further answers to writes that are lost
+    int loseNext = 0; // answers to transactions that are lost after their effect
+    int losePermille = 0; // share of answers to all writes that are lost
     int errorPermille = 0; // share of calls that are refused with status 503
 
     // Applies a body of POST /control: a JSON object with any of `outage`, `latency_ms`,
@@ -38,7 +38,7 @@
     tl::expected<void, std::string> apply(const std::string &body);
 
     // Whether the answer to the present write is lost.
-    bool losesAnswer(std::minstd_rand &random);
+    bool losesAnswer(bool isTransaction, std::minstd_rand &random);
 
     // Whether the present call is refused with an error.
     bool refuses(std::minstd_rand &random) const;
--- a/testing/store_stand_in/store_handler.cpp
+++ b/testing/store_stand_in/store_handler.cpp
@@ -107,7 +107,7 @@
         ++m_malformed;
         co_return http_reply(status_bad_request, messageOf(error.what()));
     }
-    if (isWrite(kind) && m_faults.losesAnswer(m_random)) {
+    if (isWrite(kind) && m_faults.losesAnswer(kind == call_kind::transaction, m_random)) {
         ++m_lost;
         co_return co_await neverAnswer();
     }
