--- /dev/null
+++ b/gooseberrymoor/operators/operator_commands_test.cpp
@@ -0,0 +1,205 @@
+#include "gooseberrymoor/operators/operator_commands.h"
+
+#include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/configuration/change_result.h"
+#include "gooseberrymoor/http/http_connection.h"
+#include "gooseberrymoor/http/http_server.h"
+#include "gooseberrymoor/operators/edit_command.h"
+#include "gooseberrymoor/operators/fleet_status.h"
+#include "testing/store_stand_in/store_handler.h"
+
+#include <boost/asio/io_context.hpp>
+#include <docopt/docopt.h>
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <iostream>
+#include <optional>
+#include <sstream>
+#include <thread>
+
+using namespace gooseberrymoor;
+
+namespace {
+
+const endpoint store_address { "127.0.0.1", 23051 };
+const endpoint closed_address { "127.0.0.1", 23052 };
+constexpr std::size_t most_body_bytes = 1'400'000;
+const std::string standings
+    = (std::filesystem::path(SOURCE_FOLDER) / "examples/malaysia/standings.json").string();
+
+// What a command printed, and its exit code.
+struct command_outcome
+{
+    int code = 0;
+    std::string output;
+    std::string errors;
+};
+
+// Catches what is written to a stream.
+class caught_stream
+{
+public:
+    explicit caught_stream(std::ostream &stream)
+        : m_stream(stream), m_before(stream.rdbuf(m_text.rdbuf()))
+    {
+    }
+    ~caught_stream() { m_stream.rdbuf(m_before); }
+    std::string text() const { return m_text.str(); }
+
+private:
+    std::ostringstream m_text;
+    std::ostream &m_stream;
+    std::streambuf *m_before;
+};
+
+command_outcome runCommand(std::vector<std::string> words, const endpoint &store = store_address)
+{
+    words.push_back("--store=" + toString(store));
+    const auto arguments = docopt::docopt_parse(operatorUsage(), words, false);
+    caught_stream output(std::cout);
+    caught_stream errors(std::cerr);
+    command_outcome outcome;
+    outcome.code = runOperatorCommand(arguments);
+    outcome.output = output.text();
+    outcome.errors = errors.text();
+    return outcome;
+}
+
+// A store stand-in on a thread of its own, as a process of its own would be.
+class store_thread
+{
+public:
+    store_thread()
+    {
+        REQUIRE(m_server.start(store_address));
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+    ~store_thread()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    void control(const std::string &faults)
+    {
+        asio::io_context context(1);
+        http_request request("POST", "/control", faults);
+        asio::co_spawn(
+            context,
+            exchangeOnce(store_address, std::move(request), millis_clock::now() + duration(2000)),
+            [](std::exception_ptr, tl::expected<http_reply, http_failure>) {});
+        context.run();
+    }
+
+private:
+    asio::io_context m_context { 1 };
+    counters m_events;
+    store_handler m_handler { m_context.get_executor(), 1 };
+    http_server m_server { m_context.get_executor(), m_handler, m_events, most_body_bytes };
+    std::thread m_thread;
+};
+
+} // namespace
+
+TEST_CASE("An operator works at the command line")
+{
+    store_thread store;
+    const command_outcome put = runCommand({ "service", "put", standings });
+    REQUIRE(put.code == 0);
+    CHECK(put.output.starts_with("accepted revision "));
+
+    SUBCASE("and takes a zone out and brings it back")
+    {
+        CHECK(runCommand({ "zone", "out", "kl-a" }).code == 0);
+        CHECK(runCommand({ "zone", "list" }).output == "kl-a out\nkl-b in\nkl-c in\n");
+        CHECK(runCommand({ "zone", "in", "kl-a" }).code == 0);
+        CHECK(runCommand({ "zone", "list" }).output == "kl-a in\nkl-b in\nkl-c in\n");
+        SUBCASE("and what is so already is no change")
+        {
+            CHECK(runCommand({ "zone", "in", "kl-a" }).output.starts_with("unchanged"));
+        }
+    }
+    SUBCASE("and changes a service bit by bit")
+    {
+        CHECK(runCommand(
+                  { "target", "add", "standings", "g1", "g1-d", "10.20.1.99:9000", "kl-a", "v1" })
+                  .code
+              == 0);
+        CHECK(runCommand({ "target", "leave", "standings", "g1-d" }).code == 0);
+        CHECK(runCommand({ "target", "return", "standings", "g1-d" }).code == 0);
+        CHECK(runCommand({ "target", "remove", "standings", "g1-d" }).code == 0);
+        CHECK(runCommand({ "limits", "set", "standings", "--slots=6", "--warmup-ms=9000" }).code
+              == 0);
+        CHECK(runCommand({ "version", "set", "standings", "v2", "--share=50" }).code == 0);
+        CHECK(runCommand({ "version", "set", "standings", "v2", "--block" }).code == 0);
+        const auto shown = runCommand({ "service", "show", "standings" });
+        CHECK(shown.output.find("\"slots\":6") != std::string::npos);
+        CHECK(shown.output.find("\"warmup_ms\":9000") != std::string::npos);
+        CHECK(shown.output.find("{\"name\":\"v2\",\"share_permille\":50,\"blocked\":true}")
+              != std::string::npos);
+        CHECK(shown.output.find("g1-d") == std::string::npos);
+    }
+    SUBCASE("and removes a service")
+    {
+        CHECK(runCommand({ "service", "remove", "standings" }).code == 0);
+        CHECK(runCommand({ "service", "list" }).output.find("standings") == std::string::npos);
+    }
+    SUBCASE("and bad input is told with its argument, and changes nothing")
+    {
+        const auto before = runCommand({ "service", "list" }).output;
+        const auto zone = runCommand({ "zone", "out", "kl-x" });
+        CHECK(zone.code == 2);
+        CHECK(zone.errors.starts_with("ZONE"));
+        CHECK(runCommand({ "limits", "set", "standings", "--slots=many" }).code == 2);
+        CHECK(runCommand({ "service", "put", "/nonexistent.json" }).code == 2);
+        CHECK(runCommand({ "service", "show", "fares" }).code == 2);
+        CHECK(runCommand({ "target", "add", "standings", "g1", "x", "host:1", "kl-a", "v1" }).code
+              == 2);
+        CHECK(runCommand({ "service", "list" }).output == before);
+    }
+    SUBCASE("and programs read JSON")
+    {
+        const auto changed = runCommand({ "zone", "out", "kl-a", "--json" });
+        CHECK(changed.output.find("\"state\":\"accepted\"") != std::string::npos);
+        CHECK(runCommand({ "zone", "list", "--json" }).output == "{\"zones_out\":[\"kl-a\"]}\n");
+    }
+    SUBCASE("and a lost answer is settled: it took effect")
+    {
+        store.control(R"({"lose_next":1})");
+        const auto settled = runCommand({ "zone", "out", "kl-b" });
+        CHECK(settled.code == 0);
+        CHECK(settled.output.starts_with("accepted"));
+        CHECK(runCommand({ "zone", "list" }).output.find("kl-b out") != std::string::npos);
+    }
+    SUBCASE("and a store out of reach is said to be so")
+    {
+        const auto failed = runCommand({ "zone", "list" }, closed_address);
+        CHECK(failed.code == 1);
+        CHECK(failed.errors.find("the store cannot be read") != std::string::npos);
+    }
+    SUBCASE("and sees no node while none is a member")
+    {
+        CHECK(runCommand({ "status" }).output.find("in force at 0 of 0 nodes")
+              != std::string::npos);
+    }
+}
+
+TEST_CASE("A change ends with an exit code that scripts can tell apart")
+{
+    CHECK(exitCodeOf({ change_state::accepted, 1, "" }) == exit_code::done);
+    CHECK(exitCodeOf({ change_state::not_accepted, 1, "" }) == exit_code::failed);
+    CHECK(exitCodeOf({ change_state::conflict, 1, "" }) == exit_code::conflict);
+    CHECK(exitCodeOf({ change_state::unknown, 1, "" }) == exit_code::unknown);
+}
+
+TEST_CASE("A fleet is counted by what its nodes answered")
+{
+    fleet_status fleet;
+    fleet.nodes.resize(3);
+    fleet.nodes[0].answered = true;
+    fleet.nodes[0].revision = 7;
+    fleet.nodes[1].answered = true;
+    fleet.nodes[1].revision = 6;
+    CHECK(fleet.text(7) == "in force at 1 of 2 nodes; 1 did not answer");
+}
