--- a/gooseberrymoor/configuration/configuration_edit_test.cpp
+++ b/gooseberrymoor/configuration/configuration_edit_test.cpp
@@ -2,7 +2,8 @@
 
 #include "gooseberrymoor/configuration/configuration_change.h"
 #include "gooseberrymoor/configuration/configuration_codec.h"
-#include "gooseberrymoor/configuration/configuration_follower.h"
+#include "gooseberrymoor/configuration/configuration_document.h"
+#include "gooseberrymoor/configuration/configuration_keys.h"
 #include "gooseberrymoor/configuration/limits_edit.h"
 #include "gooseberrymoor/store/store_entry.h"
 
--- a/gooseberrymoor/configuration/configuration_follower.cpp
+++ b/gooseberrymoor/configuration/configuration_follower.cpp
@@ -1,8 +1,6 @@
 #include "gooseberrymoor/configuration/configuration_follower.h"
 
 #include "gooseberrymoor/base/counters.h"
-#include "gooseberrymoor/configuration/configuration.h"
-#include "gooseberrymoor/configuration/configuration_codec.h"
 #include "gooseberrymoor/configuration/configuration_intake.h"
 #include "gooseberrymoor/configuration/configuration_spread.h"
 #include "gooseberrymoor/store/key_value_store.h"
@@ -18,28 +16,6 @@
 
 } // namespace
 
-tl::expected<configuration, std::string> configurationFrom(const store_read &read,
-                                                           const configuration_keys &keys)
-{
-    configuration result;
-    for (const store_entry &entry : read.entries) {
-        if (entry.key == keys.head()) {
-            result.revision = entry.modRevision;
-        } else if (entry.key == keys.zonesOut()) {
-            auto zones = decodeZones(entry.value);
-            if (!zones)
-                return tl::unexpected(entry.key + ": " + zones.error());
-            result.zonesOut = std::move(*zones);
-        } else if (entry.key.starts_with(keys.servicePrefix())) {
-            auto service = decodeService(entry.value);
-            if (!service)
-                return tl::unexpected(entry.key + ": " + service.error());
-            result.services[service->name] = std::move(*service);
-        }
-    }
-    return result;
-}
-
 configuration_follower::configuration_follower(asio::any_io_executor executor,
                                                key_value_store &store, configuration_keys keys,
                                                configuration_intake &intake,
--- a/gooseberrymoor/configuration/configuration_follower.h
+++ b/gooseberrymoor/configuration/configuration_follower.h
@@ -3,12 +3,10 @@
 #include "gooseberrymoor/base/millis_clock.h"
 #include "gooseberrymoor/base/net.h"
 #include "gooseberrymoor/base/signal.h"
+#include "gooseberrymoor/configuration/configuration_document.h"
 #include "gooseberrymoor/configuration/configuration_keys.h"
 
-#include <tl/expected.hpp>
-
 #include <cstdint>
-#include <string>
 
 namespace gooseberrymoor {
 
@@ -16,12 +14,6 @@
 class configuration_spread;
 class counters;
 class key_value_store;
-struct configuration;
-struct store_read;
-
-// Builds a configuration from a read of `keys.root()`; the error names the key at fault.
-tl::expected<configuration, std::string> configurationFrom(const store_read &read,
-                                                           const configuration_keys &keys);
 
 // Keeps a node's configuration up to date with the store: one task that waits, reads or watches
 // as `configuration_spread` decides, one call at a time. Not thread-safe.
--- a/gooseberrymoor/configuration/configuration_intake.cpp
+++ b/gooseberrymoor/configuration/configuration_intake.cpp
@@ -1,22 +1,14 @@
 #include "gooseberrymoor/configuration/configuration_intake.h"
 
 #include "gooseberrymoor/base/counters.h"
-#include "gooseberrymoor/configuration/configuration_follower.h"
+#include "gooseberrymoor/configuration/configuration.h"
+#include "gooseberrymoor/configuration/configuration_document.h"
 #include "gooseberrymoor/configuration/configuration_holder.h"
 #include "gooseberrymoor/configuration/configuration_listener.h"
 #include "gooseberrymoor/configuration/configuration_spread.h"
 
 namespace gooseberrymoor {
 
-std::int64_t revisionOf(const store_read &read, const configuration_keys &keys)
-{
-    for (const store_entry &entry : read.entries) {
-        if (entry.key == keys.head())
-            return entry.modRevision;
-    }
-    return 0;
-}
-
 configuration_intake::configuration_intake(configuration_keys keys, configuration_holder &holder,
                                            configuration_spread &spread, counters &events)
     : m_keys(std::move(keys)), m_holder(holder), m_spread(spread), m_events(events)
--- a/gooseberrymoor/configuration/configuration_intake.h
+++ b/gooseberrymoor/configuration/configuration_intake.h
@@ -3,7 +3,6 @@
 #include "gooseberrymoor/configuration/configuration_keys.h"
 #include "gooseberrymoor/store/store_entry.h"
 
-#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -47,7 +46,4 @@
     std::string m_fault;
 };
 
-// The revision of the configuration that `read` holds: that of its head key, 0 if it has none.
-std::int64_t revisionOf(const store_read &read, const configuration_keys &keys);
-
 } // namespace gooseberrymoor
--- a/gooseberrymoor/decisions.h
+++ b/gooseberrymoor/decisions.h
@@ -4,7 +4,11 @@
 // Each is plain state: it takes an event and the present time and returns what is to be done.
 
 #include "gooseberrymoor/admission/target_admission.h" // what one target may be given
+#include "gooseberrymoor/configuration/change_settlement.h" // what became of a lost change
+#include "gooseberrymoor/configuration/configuration_edit.h" // what an operator's edit makes
 #include "gooseberrymoor/configuration/configuration_holder.h" // which configuration is in force
+#include "gooseberrymoor/configuration/configuration_intake.h" // which configuration is taken
+#include "gooseberrymoor/configuration/configuration_spread.h" // who reads it, who tells whom
 #include "gooseberrymoor/entry/entry_admission.h" // whether a caller's request is taken
 #include "gooseberrymoor/entry/entry_directory.h" // which entries callers are told of
 #include "gooseberrymoor/membership/cell_view.h" // who owns which target
--- a/gooseberrymoor/operators/operator_commands_test.cpp
+++ b/gooseberrymoor/operators/operator_commands_test.cpp
@@ -13,6 +13,7 @@
 #include <doctest/doctest.h>
 
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <optional>
 #include <sstream>
@@ -203,3 +204,24 @@
     fleet.nodes[1].revision = 6;
     CHECK(fleet.text(7) == "in force at 1 of 2 nodes; 1 did not answer");
 }
+
+TEST_CASE("The page for operators shows commands that the tool takes")
+{
+    std::ifstream page(std::filesystem::path(SOURCE_FOLDER) / "docs/OPERATORS.md");
+    const std::string example = "    gooseberrymoor ";
+    const std::string session = "    $ gooseberrymoor ";
+    int commands = 0;
+    for (std::string line; std::getline(page, line);) {
+        const bool shown = line.starts_with(session);
+        if (!shown && !line.starts_with(example))
+            continue;
+        std::istringstream rest(line.substr(shown ? session.size() : example.size()));
+        std::vector<std::string> words;
+        for (std::string word; rest >> word;)
+            words.push_back(word);
+        INFO(line);
+        CHECK_NOTHROW(docopt::docopt_parse(operatorUsage(), words, false));
+        ++commands;
+    }
+    CHECK(commands > 20);
+}
--- a/gooseberrymoor/operators/store_session.cpp
+++ b/gooseberrymoor/operators/store_session.cpp
@@ -1,7 +1,7 @@
 #include "gooseberrymoor/operators/store_session.h"
 
 #include "gooseberrymoor/configuration/configuration_change.h"
-#include "gooseberrymoor/configuration/configuration_follower.h"
+#include "gooseberrymoor/configuration/configuration_document.h"
 #include "gooseberrymoor/configuration/configuration_writer.h"
 #include "gooseberrymoor/membership/cell_view_codec.h"
 #include "gooseberrymoor/operators/command_arguments.h"
