End a streamed reply when its reader has gone

Cause: the stand-in counted 30 waiting watches after 30 s of three readers: a watch that its caller had given up waited on for 30 s. Change: http_server ends a reply in pieces when the connection closes; the count goes with the task.

--- a/gooseberrymoor/http/http_server.cpp
+++ b/gooseberrymoor/http/http_server.cpp
@@ -6,6 +6,7 @@
 #include "gooseberrymoor/http/http_body_source.h"
 #include "gooseberrymoor/http/http_handler.h"
 
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -17,6 +18,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
+using namespace asio::experimental::awaitable_operators;
 
 constexpr duration accept_pause { 20 }; // after a failed accept, such as too many open files
 
@@ -181,8 +183,16 @@
         = co_await http::async_write_header(socket, serializer, as_result);
     if (headError)
         co_return false;
-    while (const auto piece = co_await reply.pieces->next()) {
-        const auto chunk = http::make_chunk(asio::buffer(*piece));
+    while (true) {
+        // A client that closes, or sends anything before the end, ends the wait.
+        const auto waited = co_await (reply.pieces->next()
+                                      || socket.async_wait(tcp::socket::wait_read, as_result));
+        const auto *piece = std::get_if<std::optional<std::string>>(&waited);
+        if (!piece)
+            co_return false;
+        if (!*piece)
+            break;
+        const auto chunk = http::make_chunk(asio::buffer(**piece));
         const auto [error, size] = co_await asio::async_write(socket, chunk, as_result);
         if (error)
             co_return false;
--- a/gooseberrymoor/store/etcd_store_test.cpp
+++ b/gooseberrymoor/store/etcd_store_test.cpp
@@ -107,6 +107,14 @@
             const auto watched = runOn(context, store.waitForChange("/b/", 1, duration(300)));
             REQUIRE(watched);
             CHECK(!*watched);
+            SUBCASE("and waits no longer at the store")
+            {
+                const time_point limit = millis_clock::now() + longest_run;
+                const auto watching = [&] { return account().at("watching").to_number<int>(); };
+                while (watching() > 0 && millis_clock::now() < limit)
+                    context.run_one_for(duration(20));
+                CHECK(watching() == 0);
+            }
         }
     }
     SUBCASE("with a lease")
--- a/testing/store_stand_in/store_handler.cpp
+++ b/testing/store_stand_in/store_handler.cpp
@@ -37,6 +37,20 @@
     return json::serialize(json::object { { "error", text } });
 }
 
+// Counts a waiting watch for its own lifetime: the task of one that its caller gave up is
+// cancelled.
+class waiting_watch
+{
+public:
+    explicit waiting_watch(int &count) : m_count(count) { ++m_count; }
+    ~waiting_watch() { --m_count; }
+    waiting_watch(const waiting_watch &) = delete;
+    waiting_watch &operator=(const waiting_watch &) = delete;
+
+private:
+    int &m_count;
+};
+
 // The lines of one watch: its confirmation, then the first changes.
 class watch_lines : public gooseberrymoor::http_body_source
 {
@@ -147,7 +161,7 @@
 {
     const time_point end = millis_clock::now() + longest_watch;
     std::string changes = m_state.changes(body);
-    ++m_watching;
+    const waiting_watch counted(m_watching);
     while (changes.empty() && millis_clock::now() < end
            && m_faults.outage != outage_kind::refused) {
         co_await m_changed.wait(std::min(end, millis_clock::now() + lease_check));
@@ -155,7 +169,6 @@
         if (m_faults.outage == outage_kind::none)
             changes = m_state.changes(body);
     }
-    --m_watching;
     co_return changes;
 }
 
