--- a/gooseberrymoor/configuration/configuration_spread_test.cpp
+++ b/gooseberrymoor/configuration/configuration_spread_test.cpp
@@ -3,6 +3,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
--- a/gooseberrymoor/configuration/configuration_writer_test.cpp
+++ b/gooseberrymoor/configuration/configuration_writer_test.cpp
@@ -10,6 +10,7 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 
--- a/gooseberrymoor/node/node_test.cpp
+++ b/gooseberrymoor/node/node_test.cpp
@@ -12,6 +12,7 @@
 #include <boost/json.hpp>
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <memory>
 
 using namespace gooseberrymoor;
