--- a/gooseberrymoor/entry/entry_admission.cpp
+++ b/gooseberrymoor/entry/entry_admission.cpp
@@ -33,6 +33,9 @@
 {
     if (m_phase == entry_phase::starting)
         return request_error { error_kind::not_ready, verdict::not_run, "no configuration yet" };
+    if (m_phase == entry_phase::isolated)
+        return request_error { error_kind::not_ready, verdict::not_run,
+                               "hears neither the store nor its peers" };
     if (m_phase == entry_phase::closed)
         return request_error { error_kind::draining, verdict::not_run, "the node is leaving" };
     if (running >= m_maxQueries)
--- a/gooseberrymoor/entry/entry_admission.h
+++ b/gooseberrymoor/entry/entry_admission.h
@@ -17,14 +17,16 @@
 enum class entry_phase {
     starting, // no configuration yet
     ready,
+    isolated, // hears neither the store nor a peer: takes nothing new
     leaving, // withdrawn from the directory, still serves
     closed, // refuses all that is new
 };
 
-constexpr name_table<entry_phase, 4> names(entry_phase)
+constexpr name_table<entry_phase, 5> names(entry_phase)
 {
     return { { { entry_phase::starting, "starting" },
                { entry_phase::ready, "ready" },
+               { entry_phase::isolated, "isolated" },
                { entry_phase::leaving, "leaving" },
                { entry_phase::closed, "closed" } } };
 }
--- a/gooseberrymoor/http/http_message.h
+++ b/gooseberrymoor/http/http_message.h
@@ -7,6 +7,7 @@
 namespace gooseberrymoor {
 
 class cancellation;
+class http_body_source;
 
 // One HTTP request without its connection. Value type.
 // It has a constructor because g++ 12 destroys a brace-initialized aggregate twice if it is a
@@ -39,6 +40,7 @@
     std::string body;
     std::string contentType = "application/json";
     bool closeAfter = false; // the server closes the connection after this reply
+    std::shared_ptr<http_body_source> pieces; // if set, the body, sent in chunks
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/http/http_server.cpp
+++ b/gooseberrymoor/http/http_server.cpp
@@ -4,8 +4,11 @@
 #include "gooseberrymoor/base/counters.h"
 #include "gooseberrymoor/base/task.h"
 #include "gooseberrymoor/base/timer.h"
+#include "gooseberrymoor/http/http_body_source.h"
 #include "gooseberrymoor/http/http_handler.h"
 
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -16,6 +19,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
+using namespace asio::experimental::awaitable_operators;
 
 constexpr duration accept_pause { 20 }; // after a failed accept, such as too many open files
 
@@ -190,6 +194,11 @@
             reply = co_await m_handler.handle(std::move(request));
         }
         keepAlive = keepAlive && !m_draining && !reply.closeAfter;
+        if (reply.pieces) {
+            if (!co_await sendPieces(socket, std::move(reply), version, keepAlive))
+                co_return;
+            continue;
+        }
         const auto message = toMessage(std::move(reply), version, keepAlive);
         const auto [writeError, written] = co_await http::async_write(socket, message, as_result);
         if (writeError)
@@ -197,4 +206,36 @@
     }
 }
 
+// Returns whether the whole body was sent.
+asio::awaitable<bool> http_server::sendPieces(tcp::socket &socket, http_reply reply,
+                                              unsigned version, bool keepAlive)
+{
+    http::response<http::empty_body> head(static_cast<http::status>(reply.status), version);
+    head.set(http::field::content_type, reply.contentType);
+    head.keep_alive(keepAlive);
+    head.chunked(true);
+    http::response_serializer<http::empty_body> serializer(head);
+    const auto [headError, headSize]
+        = co_await http::async_write_header(socket, serializer, as_result);
+    if (headError)
+        co_return false;
+    while (true) {
+        // A client that closes, or sends anything before the end, ends the wait.
+        const auto waited = co_await (reply.pieces->next()
+                                      || socket.async_wait(tcp::socket::wait_read, as_result));
+        const auto *piece = std::get_if<std::optional<std::string>>(&waited);
+        if (!piece)
+            co_return false;
+        if (!*piece)
+            break;
+        const auto chunk = http::make_chunk(asio::buffer(**piece));
+        const auto [error, size] = co_await asio::async_write(socket, chunk, as_result);
+        if (error)
+            co_return false;
+    }
+    const auto last = http::make_chunk_last();
+    const auto [error, size] = co_await asio::async_write(socket, last, as_result);
+    co_return !error;
+}
+
 } // namespace gooseberrymoor
