Add planned moves: sheet, evidence on versions, ramp and driver

Cause: planners' sheets, version evidence and zone moves had only their seams. Ruled out: node shares of evidence without strata (a disturbance of the site would speak against the new version); one record for all moves (each step would contend with all others). Change: CSV sheet, one key a move, pooled windows, Shiryaev-Roberts detector, ramp, driver task. Conclusion: builds; not yet wired into the node.

--- /dev/null
+++ b/gooseberrymoor/rollout/evidence_exchange.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "gooseberrymoor/base/net.h"
+#include "gooseberrymoor/base/signal.h"
+#include "gooseberrymoor/peer/frame_handler.h"
+#include "gooseberrymoor/rollout/leaf_observer.h"
+#include "gooseberrymoor/rollout/version_evidence.h"
+#include "gooseberrymoor/rollout/wall_time.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace gooseberrymoor {
+
+class counters;
+class peer_network;
+struct cell_view;
+
+// Counts what this node sees of each version, sends closed windows to the nodes that drive the
+// services' moves, and takes in those of its peers. Not thread-safe.
+class evidence_exchange : public leaf_observer, public frame_handler
+{
+public:
+    // The newest view of the cell.
+    using view_source = std::function<const cell_view &()>;
+
+    // References must outlive the exchange.
+    evidence_exchange(asio::any_io_executor executor, std::string ownName, peer_network &network,
+                      view_source view, wall_source wallNow, counters &events);
+
+    void onLeafEnded(const leaf_observation &observation) override;
+    bool onFrame(const std::shared_ptr<peer_channel> &channel, const frame &message) override;
+    void onChannelClosed(const std::shared_ptr<peer_channel> &channel) override;
+
+    // Sends windows until `stop`.
+    asio::awaitable<void> run();
+
+    // Ends `run` at its next wait.
+    void stop();
+
+    // All that is known here, of this node and its peers.
+    const version_evidence &evidence() const { return m_evidence; }
+
+private:
+    void sendClosedWindows();
+    bool sendWindow(const evidence_window &window);
+
+    std::string m_ownName;
+    peer_network &m_network;
+    view_source m_view;
+    wall_source m_wallNow;
+    counters &m_events;
+    signal m_wake;
+    version_evidence m_evidence;
+    std::int64_t m_nextIndex = 0; // first window that was not sent
+    std::int64_t m_viewEpoch = 0; // of the view for which windows were sent
+    bool m_stopped = false;
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/rollout/rollout_driver.cpp
@@ -0,0 +1,157 @@
+#include "gooseberrymoor/rollout/rollout_driver.h"
+
+#include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/base/event_log.h"
+#include "gooseberrymoor/configuration/configuration_codec.h"
+#include "gooseberrymoor/configuration/configuration_holder.h"
+#include "gooseberrymoor/configuration/configuration_keys.h"
+#include "gooseberrymoor/rollout/move_codec.h"
+#include "gooseberrymoor/rollout/move_decision.h"
+#include "gooseberrymoor/rollout/move_driver_choice.h"
+#include "gooseberrymoor/rollout/version_evidence.h"
+#include "gooseberrymoor/store/key_value_store.h"
+
+#include <boost/json.hpp>
+
+namespace gooseberrymoor {
+
+rollout_driver::rollout_driver(asio::any_io_executor executor, rollout_settings settings,
+                               key_value_store &store, const configuration_holder &configurations,
+                               const version_evidence &evidence, view_source view,
+                               wall_source wallNow, event_log &log, counters &events)
+    : m_settings(std::move(settings)), m_store(store), m_configurations(configurations),
+      m_evidence(evidence), m_view(std::move(view)), m_wallNow(std::move(wallNow)), m_log(log),
+      m_events(events), m_wake(std::move(executor)), m_random(m_settings.seed)
+{
+}
+
+asio::awaitable<void> rollout_driver::run()
+{
+    while (!m_stopped) {
+        co_await driveOnce();
+        if (!m_stopped)
+            co_await m_wake.wait(millis_clock::now() + jitteredPoll());
+    }
+}
+
+void rollout_driver::stop()
+{
+    m_stopped = true;
+    m_wake.notify();
+}
+
+asio::awaitable<void> rollout_driver::driveOnce()
+{
+    if (!drivesAnything())
+        co_return;
+    const auto read = co_await m_store.readPrefix(movesPrefix(m_settings.cell));
+    if (!read) {
+        m_events.add("moves_not_read");
+        co_return;
+    }
+    std::vector<std::string> malformed;
+    const std::vector<move_record> records = movesFrom(*read, malformed);
+    m_events.add("moves_malformed", malformed.size());
+    for (const move_record &record : records) {
+        if (m_stopped)
+            co_return;
+        if (!drives(record.plan))
+            continue;
+        noteChange(record);
+        co_await drive(record);
+    }
+}
+
+asio::awaitable<void> rollout_driver::drive(move_record record)
+{
+    if (isFinal(record.state))
+        co_return;
+    const auto current = m_configurations.current();
+    if (current->revision == 0)
+        co_return;
+    const wall_time now = m_wallNow();
+    version_comparison comparison;
+    if (record.plan.kind == move_kind::version && record.state != move_state::planned)
+        comparison = m_evidence.compare(comparisonFor(record, *current, m_settings.timing), now);
+    const auto step = decideMove(record, *current, comparison, m_settings.timing, now);
+    if (!step)
+        co_return;
+    const auto result = co_await m_store.transact(transactionFor(*step, current->revision));
+    if (!result)
+        m_events.add("move_steps_unknown");
+    else if (!result->succeeded)
+        m_events.add("move_steps_conflict");
+    else
+        m_events.add("move_steps_written");
+    if (result && result->succeeded)
+        noteChange(step->next);
+}
+
+store_transaction rollout_driver::transactionFor(const move_step &step, std::int64_t basis)
+{
+    const configuration_keys keys(m_settings.cell);
+    const std::string moveKey = movesPrefix(m_settings.cell) + step.next.plan.id;
+    store_transaction transaction;
+    transaction.compares.push_back({ moveKey, step.next.revision });
+    transaction.puts.push_back({ moveKey, encodeMove(step.next) });
+    if (!step.changesConfiguration())
+        return transaction;
+    transaction.compares.push_back({ keys.head(), basis });
+    if (step.service)
+        transaction.puts.push_back(
+            { keys.service(step.service->name), encodeService(*step.service) });
+    if (step.zonesOut)
+        transaction.puts.push_back({ keys.zonesOut(), encodeZones(*step.zonesOut) });
+    const boost::json::object head { { "operation", std::to_string(m_random()) },
+                                     { "author", "move " + step.next.plan.id } };
+    transaction.puts.push_back({ keys.head(), boost::json::serialize(head) });
+    return transaction;
+}
+
+bool rollout_driver::drivesAnything() const
+{
+    const cell_view &view = m_view();
+    if (driverOf(view, "") == m_settings.ownName)
+        return true;
+    const auto current = m_configurations.current();
+    for (const auto &[name, service] : current->services) {
+        if (driverOf(view, name) == m_settings.ownName)
+            return true;
+    }
+    return false;
+}
+
+bool rollout_driver::drives(const planned_move &move) const
+{
+    return driverOf(m_view(), move.service) == m_settings.ownName;
+}
+
+// A final state that was never seen to change is history, not news.
+void rollout_driver::noteChange(const move_record &record)
+{
+    const auto [found, first] = m_seen.try_emplace(record.plan.id, record.state);
+    if (first && (isFinal(record.state) || record.state == move_state::planned))
+        return;
+    if (!first && found->second == record.state)
+        return;
+    found->second = record.state;
+    m_events.add("move_state_changes");
+    m_log.write("move_state",
+                { { "move", record.plan.id },
+                  { "service", record.plan.service },
+                  { "kind", std::string(nameOf(record.plan.kind)) },
+                  { "state", std::string(nameOf(record.state)) },
+                  { "share_permille", std::to_string(record.sharePermille) },
+                  { "cause", std::string(nameOf(record.cause.reason)) },
+                  { "route", record.cause.route },
+                  { "detail", record.cause.detail } });
+}
+
+duration rollout_driver::jitteredPoll()
+{
+    const std::int64_t half = m_settings.poll.count() / 2;
+    std::uniform_int_distribution<std::int64_t> jitter(0, half);
+    return duration(m_settings.poll.count() - half / 2 + jitter(m_random));
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/rollout/version_evidence.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "gooseberrymoor/rollout/comparison_request.h"
+#include "gooseberrymoor/rollout/evidence_window.h"
+#include "gooseberrymoor/rollout/version_comparison.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace gooseberrymoor {
+
+struct leaf_observation;
+
+// What the nodes of a cell saw of each version, for the last minutes, and the comparison of two
+// versions by it. Decision class: no clock, no sockets. Not thread-safe.
+//
+// Within each stratum (one window of one node on one route) the share of the requests tells how
+// errors would fall on two equal versions. So whatever hits both versions in the same window is no
+// evidence against the new one. Each stratum gives a likelihood ratio; their running sum of
+// products over all possible beginnings (Shiryaev-Roberts) finds a version that turns bad late,
+// and may be looked at after each window: its expectation grows by no more than 1 a window.
+class version_evidence
+{
+public:
+    // Counts one leaf request that this node, `node`, has seen end.
+    void record(const std::string &node, const leaf_observation &observation, wall_time now);
+
+    // Takes in what `node` counted in a window. The same window again replaces the first, so that
+    // repeats change nothing. A window that is too old or from the future is passed over.
+    void put(const std::string &node, evidence_window window, wall_time now);
+
+    // Drops windows that are too old.
+    void expire(wall_time now);
+
+    // The windows of `node` from `firstIndex` that are closed at `now`.
+    std::vector<evidence_window> closedWindows(const std::string &node, std::int64_t firstIndex,
+                                               wall_time now) const;
+
+    // Compares two versions by all windows that are closed at `now`.
+    version_comparison compare(const comparison_request &request, wall_time now) const;
+
+private:
+    // By window, then by node.
+    std::map<std::int64_t, std::map<std::string, evidence_window>> m_windows;
+};
+
+} // namespace gooseberrymoor
