Let operators check and apply sheets and follow moves; run the driver in the node

Cause: planned moves could not be given to a cell, and no node drove them. Ruled out: commands inside operator_commands.cpp, which has other duties. Change: sheet_commands and moves_commands on the store interface; the node runs evidence_exchange and rollout_driver. Tests for a late word of a frozen driver, a disturbance under a larger share, and a version that turns a little bad after a long good time.

--- a/gooseberrymoor/decisions.h
+++ b/gooseberrymoor/decisions.h
@@ -10,3 +10,6 @@
 #include "gooseberrymoor/membership/cell_view.h" // who owns which target
 #include "gooseberrymoor/query/query_run.h" // one query from fan-out to answer
 #include "gooseberrymoor/query/routing_table.h" // which targets may be asked
+#include "gooseberrymoor/rollout/move_decision.h" // what a planned move does next
+#include "gooseberrymoor/rollout/sheet.h" // whether planned moves may be applied
+#include "gooseberrymoor/rollout/version_evidence.h" // whether a version is worse than another
--- a/gooseberrymoor/node/node.cpp
+++ b/gooseberrymoor/node/node.cpp
@@ -28,6 +28,21 @@
              settings.peerAddress, settings.entryAddress, false };
 }
 
+rollout_settings rolloutSettingsFrom(const node_settings &settings)
+{
+    rollout_settings rollout;
+    rollout.ownName = settings.name;
+    rollout.cell = settings.cell;
+    rollout.seed = randomNumber();
+    rollout.timing.longestRequest = settings.maxTimeout;
+    return rollout;
+}
+
+wall_time wallNow()
+{
+    return std::chrono::time_point_cast<wall_time::duration>(std::chrono::system_clock::now());
+}
+
 } // namespace
 
 node::node(asio::any_io_executor executor, node_settings settings, event_log &log)
@@ -42,7 +57,15 @@
           executor, [this](std::string_view target) { return ownsTarget(target); }, m_events),
       m_leafServer(m_owner), m_gateway(m_settings.name, m_network, m_owner, m_events),
       m_selector(randomNumber()), m_hedging(fixed_hedge_delay, m_settings.hedgePercent),
-      m_runner(m_gateway, m_selector, m_hedging), m_admission(m_settings.maxQueries),
+      m_runner(m_gateway, m_selector, m_hedging),
+      m_evidence(
+          executor, m_settings.name, m_network,
+          [this]() -> const cell_view & { return m_membership.view(); }, wallNow, m_events),
+      m_rollout(
+          executor, rolloutSettingsFrom(m_settings), m_store, m_configurations,
+          m_evidence.evidence(), [this]() -> const cell_view & { return m_membership.view(); },
+          wallNow, m_log, m_events),
+      m_admission(m_settings.maxQueries),
       m_report({ m_settings, m_events, m_configurations, m_membership, m_network, m_owner, m_runner,
                  m_gateway, m_admission }),
       m_handler(
@@ -54,6 +77,7 @@
     m_network.setHandler(message_kind::leaf_request, m_leafServer);
     m_network.setHandler(message_kind::leaf_cancel, m_leafServer);
     m_network.setHandler(message_kind::leaf_response, m_gateway);
+    m_network.setHandler(message_kind::version_evidence, m_evidence);
     m_membership.addListener(*this);
 }
 
@@ -66,6 +90,8 @@
     startTask(m_executor, m_events, "configuration", m_follower.run());
     startTask(m_executor, m_events, "membership", m_membership.run());
     startTask(m_executor, m_events, "changes", followConfiguration());
+    startTask(m_executor, m_events, "evidence", m_evidence.run());
+    startTask(m_executor, m_events, "rollout", m_rollout.run());
     m_log.write("node_started",
                 { { "entry", toString(m_settings.entryAddress) },
                   { "peer", toString(m_settings.peerAddress) },
@@ -76,6 +102,7 @@
 asio::awaitable<void> node::stop()
 {
     m_log.write("node_leaving", {});
+    m_rollout.stop();
     m_admission.setPhase(entry_phase::leaving);
     const time_point began = millis_clock::now();
     const bool told = co_await m_membership.markLeaving(began + store_patience);
@@ -88,6 +115,7 @@
     co_await waitUntilIdle(millis_clock::now() + m_settings.maxTimeout + store_patience);
     co_await m_membership.leave(millis_clock::now() + store_patience);
     m_stopped = true;
+    m_evidence.stop();
     m_follower.stop();
     m_membership.stop();
     m_network.stop();
--- a/gooseberrymoor/node/node.h
+++ b/gooseberrymoor/node/node.h
@@ -17,6 +17,8 @@
 #include "gooseberrymoor/query/leaf_gateway.h"
 #include "gooseberrymoor/query/least_outstanding_selector.h"
 #include "gooseberrymoor/query/query_runner.h"
+#include "gooseberrymoor/rollout/evidence_exchange.h"
+#include "gooseberrymoor/rollout/rollout_driver.h"
 #include "gooseberrymoor/settings/node_settings.h"
 #include "gooseberrymoor/store/etcd_store.h"
 #include "gooseberrymoor/target/target_owner.h"
@@ -68,6 +70,8 @@
     least_outstanding_selector m_selector;
     fixed_hedge_policy m_hedging;
     query_runner m_runner;
+    evidence_exchange m_evidence;
+    rollout_driver m_rollout;
     entry_admission m_admission;
     state_report m_report;
     entry_handler m_handler;
--- /dev/null
+++ b/gooseberrymoor/operators/moves_commands.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "gooseberrymoor/base/millis_clock.h"
+#include "gooseberrymoor/base/net.h"
+#include "gooseberrymoor/operators/exit_codes.h"
+#include "gooseberrymoor/rollout/move_record.h"
+
+#include <tl/expected.hpp>
+
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace gooseberrymoor {
+
+class key_value_store;
+
+// The commands `moves list` and `moves follow`. What they find goes to `out`, one line a move, as
+// text or as JSON.
+class moves_commands
+{
+public:
+    // References must outlive the object and its tasks.
+    moves_commands(key_value_store &store, std::string cell, std::ostream &out, bool json);
+
+    // Prints every move.
+    asio::awaitable<exit_code> list();
+
+    // Prints each change of the move `id`, or of all moves if it is empty, and ends when they are
+    // done or rolled back; failed if one was rolled back. Reads the store each `poll`, and goes on
+    // while it does not answer.
+    asio::awaitable<exit_code> follow(std::string id, duration poll);
+
+private:
+    asio::awaitable<tl::expected<std::vector<move_record>, std::string>> read(std::string id);
+    void print(const move_record &record);
+    void reportFailure(const std::string &text);
+
+    key_value_store &m_store;
+    std::string m_cell;
+    std::ostream &m_out;
+    bool m_json;
+};
+
+} // namespace gooseberrymoor
--- a/gooseberrymoor/operators/operator_commands.cpp
+++ b/gooseberrymoor/operators/operator_commands.cpp
@@ -7,6 +7,8 @@
 #include "gooseberrymoor/configuration/configuration_writer.h"
 #include "gooseberrymoor/configuration/service_config.h"
 #include "gooseberrymoor/http/http_connection.h"
+#include "gooseberrymoor/operators/moves_commands.h"
+#include "gooseberrymoor/operators/sheet_commands.h"
 #include "gooseberrymoor/store/etcd_store.h"
 
 #include <boost/asio/io_context.hpp>
@@ -103,6 +105,35 @@
     co_return exit_done;
 }
 
+constexpr duration follow_poll { 1000 };
+
+wall_time wallNow()
+{
+    return std::chrono::time_point_cast<wall_time::duration>(std::chrono::system_clock::now());
+}
+
+asio::awaitable<int> runSheet(endpoint storeAddress, std::string cell, std::string text, bool apply,
+                              bool json)
+{
+    counters events;
+    etcd_store store({ storeAddress }, call_timeout, events);
+    sheet_commands commands(store, std::move(cell), wallNow, std::cout, json);
+    if (apply)
+        co_return static_cast<int>(co_await commands.apply(std::move(text)));
+    co_return static_cast<int>(co_await commands.check(std::move(text)));
+}
+
+asio::awaitable<int> runMoves(endpoint storeAddress, std::string cell, bool follow, std::string id,
+                              bool json)
+{
+    counters events;
+    etcd_store store({ storeAddress }, call_timeout, events);
+    moves_commands commands(store, std::move(cell), std::cout, json);
+    if (follow)
+        co_return static_cast<int>(co_await commands.follow(std::move(id), follow_poll));
+    co_return static_cast<int>(co_await commands.list());
+}
+
 std::optional<endpoint> endpointArgument(const arguments_map &arguments, const std::string &name)
 {
     const std::string text = arguments.at(name).asString();
@@ -120,6 +151,9 @@
 
 Usage:
   gooseberrymoor service put FILE --store=ADDRESS [--cell=NAME]
+  gooseberrymoor sheet (check | apply) FILE --store=ADDRESS [--cell=NAME] [--json]
+  gooseberrymoor moves list --store=ADDRESS [--cell=NAME] [--json]
+  gooseberrymoor moves follow [ID] --store=ADDRESS [--cell=NAME] [--json]
   gooseberrymoor dump --node=ADDRESS
   gooseberrymoor --help
 
@@ -127,6 +161,7 @@
   --store=ADDRESS  Address of the platform's key-value service, as IP:PORT.
   --cell=NAME      Cell that is meant [default: main].
   --node=ADDRESS   Entry address of a node, as IP:PORT.
+  --json           Print JSON in place of text.
   --help           Show this text.
 
 Exit codes: 0 done, 1 failed, 2 bad input, 3 conflict with another change, 4 outcome unknown.
@@ -143,6 +178,13 @@
     const auto store = endpointArgument(arguments, "--store");
     if (!store)
         return exit_bad_input;
+    const std::string cell = arguments.at("--cell").asString();
+    const bool json = arguments.at("--json").asBool();
+    if (arguments.at("moves").asBool()) {
+        const docopt::value &id = arguments.at("ID");
+        return runToEnd(runMoves(*store, cell, arguments.at("follow").asBool(),
+                                 id ? id.asString() : std::string(), json));
+    }
     std::ifstream file(arguments.at("FILE").asString());
     if (!file) {
         std::cerr << arguments.at("FILE").asString() << ": cannot be read\n";
@@ -150,7 +192,9 @@
     }
     std::ostringstream text;
     text << file.rdbuf();
-    return runToEnd(putService(*store, arguments.at("--cell").asString(), text.str()));
+    if (arguments.at("sheet").asBool())
+        return runToEnd(runSheet(*store, cell, text.str(), arguments.at("apply").asBool(), json));
+    return runToEnd(putService(*store, cell, text.str()));
 }
 
 } // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/operators/sheet_commands.cpp
@@ -0,0 +1,193 @@
+#include "gooseberrymoor/operators/sheet_commands.h"
+
+#include "gooseberrymoor/configuration/configuration.h"
+#include "gooseberrymoor/configuration/configuration_follower.h"
+#include "gooseberrymoor/configuration/configuration_keys.h"
+#include "gooseberrymoor/rollout/move_codec.h"
+#include "gooseberrymoor/rollout/move_record.h"
+#include "gooseberrymoor/store/key_value_store.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <ostream>
+
+namespace gooseberrymoor {
+
+namespace {
+
+namespace json = boost::json;
+
+// The platform's store takes no more than 128 operations in one transaction.
+constexpr std::size_t most_rows_a_transaction = 60;
+
+const move_record *findMove(const std::vector<move_record> &known, const std::string &id)
+{
+    const auto found = std::ranges::find_if(
+        known, [&id](const move_record &each) { return each.plan.id == id; });
+    return found == known.end() ? nullptr : &*found;
+}
+
+// Plans `moves` if none of them is known and the configuration is as it was checked.
+store_transaction planningOf(const std::string &cell, const std::vector<planned_move> &moves,
+                             std::int64_t basis)
+{
+    store_transaction transaction;
+    transaction.compares.push_back({ configuration_keys(cell).head(), basis });
+    for (const planned_move &move : moves) {
+        move_record record;
+        record.plan = move;
+        const std::string key = movesPrefix(cell) + move.id;
+        transaction.compares.push_back({ key, 0 });
+        transaction.puts.push_back({ key, encodeMove(record) });
+    }
+    return transaction;
+}
+
+} // namespace
+
+sheet_commands::sheet_commands(key_value_store &store, std::string cell, wall_source wallNow,
+                               std::ostream &out, bool json)
+    : m_store(store), m_cell(std::move(cell)), m_wallNow(std::move(wallNow)), m_out(out),
+      m_json(json)
+{
+}
+
+asio::awaitable<exit_code> sheet_commands::check(std::string text)
+{
+    const auto sheet = co_await readAndCheck(std::move(text));
+    if (!sheet)
+        co_return sheet.error();
+    reportRows(*sheet);
+    co_return exit_code::done;
+}
+
+asio::awaitable<exit_code> sheet_commands::apply(std::string text)
+{
+    auto sheet = co_await readAndCheck(std::move(text));
+    if (!sheet)
+        co_return sheet.error();
+    std::vector<planned_move> fresh;
+    for (const sheet_row &row : sheet->rows) {
+        if (!findMove(sheet->known, row.move.id))
+            fresh.push_back(row.move);
+    }
+    for (std::size_t from = 0; from < fresh.size(); from += most_rows_a_transaction) {
+        const std::size_t to = std::min(fresh.size(), from + most_rows_a_transaction);
+        std::vector<planned_move> part(fresh.begin() + static_cast<std::ptrdiff_t>(from),
+                                       fresh.begin() + static_cast<std::ptrdiff_t>(to));
+        const exit_code planned = co_await plan(std::move(part), sheet->basis);
+        if (planned != exit_code::done)
+            co_return planned;
+    }
+    reportRows(*sheet);
+    co_return exit_code::done;
+}
+
+asio::awaitable<tl::expected<sheet_commands::checked_sheet, exit_code>>
+sheet_commands::readAndCheck(std::string text)
+{
+    auto rows = parseSheet(text);
+    if (!rows) {
+        reportFaults(rows.error());
+        co_return tl::unexpected(exit_code::bad_input);
+    }
+    const configuration_keys keys(m_cell);
+    const auto configRead = co_await m_store.readPrefix(keys.root());
+    const auto movesRead = co_await m_store.readPrefix(movesPrefix(m_cell));
+    if (!configRead || !movesRead) {
+        reportFailure("the store cannot be read");
+        co_return tl::unexpected(exit_code::failed);
+    }
+    const auto current = configurationFrom(*configRead, keys);
+    if (!current) {
+        reportFailure("the configuration is malformed: " + current.error());
+        co_return tl::unexpected(exit_code::failed);
+    }
+    std::vector<std::string> malformed;
+    checked_sheet sheet { std::move(*rows), movesFrom(*movesRead, malformed), current->revision };
+    if (!malformed.empty()) {
+        reportFailure("a move in the store is malformed: " + malformed.front());
+        co_return tl::unexpected(exit_code::failed);
+    }
+    const auto faults = checkSheet(sheet.rows, *current, sheet.known, m_wallNow());
+    if (!faults.empty()) {
+        reportFaults(faults);
+        co_return tl::unexpected(exit_code::bad_input);
+    }
+    co_return sheet;
+}
+
+asio::awaitable<exit_code> sheet_commands::plan(std::vector<planned_move> moves, std::int64_t basis)
+{
+    const auto result = co_await m_store.transact(planningOf(m_cell, moves, basis));
+    if (result && result->succeeded)
+        co_return exit_code::done;
+    if (result) {
+        reportFailure("another change came first; apply the sheet again");
+        co_return exit_code::conflict;
+    }
+    if (result.error().outcome == verdict::not_run) {
+        reportFailure("the store did not take the sheet: " + result.error().detail);
+        co_return exit_code::failed;
+    }
+    co_return co_await settle(std::move(moves));
+}
+
+// After a lost answer: whether the store has the moves.
+asio::awaitable<exit_code> sheet_commands::settle(std::vector<planned_move> moves)
+{
+    const auto read = co_await m_store.readPrefix(movesPrefix(m_cell));
+    if (!read) {
+        reportFailure("the store did not say whether it took the sheet; apply it again");
+        co_return exit_code::unknown;
+    }
+    std::vector<std::string> malformed;
+    const auto known = movesFrom(*read, malformed);
+    const bool taken = std::ranges::all_of(
+        moves, [&known](const planned_move &move) { return findMove(known, move.id); });
+    if (taken)
+        co_return exit_code::done;
+    reportFailure("the store did not answer and has not taken the sheet so far; apply it again");
+    co_return exit_code::unknown;
+}
+
+void sheet_commands::reportFaults(const std::vector<sheet_fault> &faults)
+{
+    json::array list;
+    for (const sheet_fault &fault : faults) {
+        if (!m_json)
+            m_out << toString(fault) << "\n";
+        list.push_back(json::object { { "row", fault.row },
+                                      { "column", fault.column },
+                                      { "problem", fault.problem },
+                                      { "advice", fault.advice } });
+    }
+    if (m_json)
+        m_out << json::serialize(json::object { { "faults", list } }) << "\n";
+}
+
+void sheet_commands::reportRows(const checked_sheet &sheet)
+{
+    json::array list;
+    for (const sheet_row &row : sheet.rows) {
+        const move_record *known = findMove(sheet.known, row.move.id);
+        const std::string state(nameOf(known ? known->state : move_state::planned));
+        if (!m_json)
+            m_out << "row " << row.row << " " << row.move.id << " " << state << "\n";
+        list.push_back(
+            json::object { { "row", row.row }, { "id", row.move.id }, { "state", state } });
+    }
+    if (m_json)
+        m_out << json::serialize(json::object { { "rows", list } }) << "\n";
+}
+
+void sheet_commands::reportFailure(const std::string &text)
+{
+    if (m_json)
+        m_out << json::serialize(json::object { { "failure", text } }) << "\n";
+    else
+        m_out << text << "\n";
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/operators/sheet_commands_test.cpp
@@ -0,0 +1,231 @@
+#include "gooseberrymoor/operators/sheet_commands.h"
+
+#include "gooseberrymoor/base/manual_time.h"
+#include "gooseberrymoor/configuration/configuration_codec.h"
+#include "gooseberrymoor/configuration/configuration_keys.h"
+#include "gooseberrymoor/configuration/service_config.h"
+#include "gooseberrymoor/operators/moves_commands.h"
+#include "gooseberrymoor/rollout/move_codec.h"
+#include "gooseberrymoor/store/key_value_store.h"
+
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+
+#include <map>
+#include <optional>
+#include <sstream>
+
+using namespace gooseberrymoor;
+
+namespace {
+
+const std::string sheetText = "service,kind,from,to,begin,finish_by\n"
+                              "standings,version,v1,v2,2026-12-04T10:00:00Z,2026-12-04T12:00:00Z\n"
+                              ",zone_out,kl-a,,2026-12-04T10:00:00Z,2026-12-04T12:00:00Z\n";
+
+// A store in memory whose next transactions can fail in a chosen way.
+class memory_store : public key_value_store
+{
+public:
+    asio::awaitable<tl::expected<store_read, store_error>> readPrefix(std::string prefix) override
+    {
+        if (down)
+            co_return tl::unexpected(store_error {});
+        store_read result { revision, {} };
+        for (const auto &[key, entry] : entries) {
+            if (key.starts_with(prefix))
+                result.entries.push_back(entry);
+        }
+        co_return result;
+    }
+
+    asio::awaitable<tl::expected<transaction_result, store_error>>
+    transact(store_transaction transaction) override
+    {
+        ++transactions;
+        if (raceBefore)
+            put(*raceBefore, "other operator");
+        bool holds = true;
+        for (const store_compare &each : transaction.compares) {
+            const auto found = entries.find(each.key);
+            const std::int64_t present = found == entries.end() ? 0 : found->second.modRevision;
+            holds = holds && present == each.modRevision;
+        }
+        if (holds && !losesRequest) {
+            for (const store_put &each : transaction.puts)
+                put(each.key, each.value);
+        }
+        if (losesAnswer || losesRequest)
+            co_return tl::unexpected(
+                store_error { store_failure::timed_out, verdict::may_have_run, "" });
+        co_return transaction_result { holds, revision };
+    }
+
+    void put(const std::string &key, const std::string &value)
+    {
+        ++revision;
+        entries[key] = { key, value, revision };
+    }
+
+    std::map<std::string, store_entry> entries;
+    std::int64_t revision = 1;
+    int transactions = 0;
+    bool down = false;
+    bool losesAnswer = false;
+    bool losesRequest = false;
+    std::optional<std::string> raceBefore; // key that another operator writes first
+};
+
+// Runs commands on a store with one service.
+struct operator_desk
+{
+    operator_desk()
+    {
+        service_config service;
+        service.name = "standings";
+        service.groups = { { "g1",
+                             { { "a", { "127.0.0.1", 24001 }, "kl-a", "v1", false },
+                               { "b", { "127.0.0.1", 24002 }, "kl-b", "v2", false } } } };
+        service.versions = { { "v1", 1000, false }, { "v2", 0, false } };
+        store.put(keys.service("standings"), encodeService(service));
+        store.put(keys.head(), "{}");
+    }
+
+    exit_code run(asio::awaitable<exit_code> task)
+    {
+        asio::io_context context(1);
+        exit_code code = exit_code::failed;
+        asio::co_spawn(context, std::move(task),
+                       [&code](std::exception_ptr, exit_code result) { code = result; });
+        for (int i = 0; i < 100; ++i) {
+            context.poll();
+            context.restart();
+            clock.advance(duration(1000));
+        }
+        return code;
+    }
+
+    exit_code apply(const std::string &text)
+    {
+        sheet_commands commands(store, "main", now, out, false);
+        return run(commands.apply(text));
+    }
+
+    std::size_t moves() const
+    {
+        std::size_t count = 0;
+        for (const auto &[key, entry] : store.entries)
+            count += key.starts_with(movesPrefix("main")) ? 1 : 0;
+        return count;
+    }
+
+    manual_time clock;
+    configuration_keys keys { "main" };
+    memory_store store;
+    std::ostringstream out;
+    wall_source now = [] { return *parseWallTime("2026-12-04T09:00:00Z"); };
+};
+
+} // namespace
+
+TEST_CASE("An operator applies the planners' sheet")
+{
+    operator_desk desk;
+    SUBCASE("after a check that changes nothing")
+    {
+        sheet_commands commands(desk.store, "main", desk.now, desk.out, false);
+        CHECK(desk.run(commands.check(sheetText)) == exit_code::done);
+        CHECK(desk.moves() == 0);
+        CHECK(desk.out.str().find("row 2 ") != std::string::npos);
+    }
+    SUBCASE("and every row is planned")
+    {
+        CHECK(desk.apply(sheetText) == exit_code::done);
+        CHECK(desk.moves() == 2);
+
+        SUBCASE("once: the same sheet again writes nothing")
+        {
+            const std::int64_t before = desk.store.revision;
+            CHECK(desk.apply(sheetText) == exit_code::done);
+            CHECK(desk.store.revision == before);
+        }
+    }
+    SUBCASE("and one bad row keeps all others out")
+    {
+        CHECK(desk.apply(sheetText
+                         + "standings,version,v1,v9,2026-12-05T10:00:00Z,"
+                           "2026-12-05T12:00:00Z\n")
+              == exit_code::bad_input);
+        CHECK(desk.moves() == 0);
+        CHECK(desk.out.str().find("row 4, column to") != std::string::npos);
+    }
+    SUBCASE("and a change of the configuration in between is a conflict")
+    {
+        desk.store.raceBefore = desk.keys.head();
+        CHECK(desk.apply(sheetText) == exit_code::conflict);
+        CHECK(desk.moves() == 0);
+    }
+    SUBCASE("and a lost answer is settled by reading back")
+    {
+        desk.store.losesAnswer = true;
+        CHECK(desk.apply(sheetText) == exit_code::done);
+        CHECK(desk.moves() == 2);
+    }
+    SUBCASE("and a lost request is not called done")
+    {
+        desk.store.losesRequest = true;
+        CHECK(desk.apply(sheetText) == exit_code::unknown);
+    }
+    SUBCASE("and nothing is planned while the store is down")
+    {
+        desk.store.down = true;
+        CHECK(desk.apply(sheetText) == exit_code::failed);
+        CHECK(desk.store.transactions == 0);
+    }
+    SUBCASE("and faults can be had as JSON")
+    {
+        sheet_commands commands(desk.store, "main", desk.now, desk.out, true);
+        CHECK(desk.run(commands.check("service\n")) == exit_code::bad_input);
+        CHECK(desk.out.str().starts_with("{\"faults\":[{\"row\":1,"));
+    }
+}
+
+TEST_CASE("An operator follows the moves")
+{
+    operator_desk desk;
+    REQUIRE(desk.apply(sheetText) == exit_code::done);
+    desk.out.str("");
+    moves_commands commands(desk.store, "main", desk.out, false);
+    const auto finish = [&desk](move_state state) {
+        for (auto &[key, entry] : desk.store.entries) {
+            if (!key.starts_with(movesPrefix("main")))
+                continue;
+            move_record record = *decodeMove(entry.value);
+            record.state = state;
+            if (state == move_state::rolled_back)
+                record.cause = { rollback_reason::latency, "/laps", "slow" };
+            desk.store.put(key, encodeMove(record));
+        }
+    };
+    SUBCASE("as a list")
+    {
+        CHECK(desk.run(commands.list()) == exit_code::done);
+        CHECK(desk.out.str().find("version standings from v1 to v2") != std::string::npos);
+        CHECK(desk.out.str().find(": planned") != std::string::npos);
+    }
+    SUBCASE("until all are done")
+    {
+        finish(move_state::done);
+        CHECK(desk.run(commands.follow("", duration(1000))) == exit_code::done);
+    }
+    SUBCASE("and hears why one was rolled back")
+    {
+        finish(move_state::rolled_back);
+        CHECK(desk.run(commands.follow("", duration(1000))) == exit_code::failed);
+        CHECK(desk.out.str().find("latency on route /laps: slow") != std::string::npos);
+    }
+    SUBCASE("but not one that does not exist")
+    {
+        CHECK(desk.run(commands.follow("none", duration(1000))) == exit_code::bad_input);
+    }
+}
--- a/gooseberrymoor/rollout/rollout_driver_test.cpp
+++ b/gooseberrymoor/rollout/rollout_driver_test.cpp
@@ -346,6 +346,22 @@
         CHECK(cell.service().findVersion("v1")->sharePermille == 1000);
         CHECK(cell.second().log.lines.back().find("cause=errors") != std::string::npos);
     }
+    SUBCASE("and a frozen word that the move is late does not undo its end")
+    {
+        cell.first().follow();
+        cell.second().follow();
+        cell.advance(std::chrono::minutes(30));
+        cell.first().store.mood = store_mood::frozen;
+        cell.round(cell.first());
+        cell.observe(1000, 900);
+        cell.advance(evidence_window_length);
+        cell.round(cell.second());
+        REQUIRE(cell.move().state == move_state::rolled_back);
+        cell.first().store.thaw();
+        cell.poll();
+        CHECK(cell.move().state == move_state::rolled_back);
+        CHECK(cell.first().events.value("move_steps_conflict") == 1);
+    }
     SUBCASE("and stops at once with the node")
     {
         cell.first().driver.stop();
--- a/gooseberrymoor/rollout/version_evidence_test.cpp
+++ b/gooseberrymoor/rollout/version_evidence_test.cpp
@@ -145,6 +145,32 @@
         }
         CHECK(!site.compare().bad);
     }
+    SUBCASE("a disturbance under a larger share than before is no evidence either")
+    {
+        for (int i = 0; i < 60; ++i) {
+            site.window(200, 0.01, 2, 0.01);
+            site.next();
+        }
+        for (int i = 0; i < 12; ++i) {
+            site.window(100, 0.4, 100, 0.4);
+            site.next();
+            CHECK(!site.compare().bad);
+        }
+    }
+    SUBCASE("one that turns a little bad after a long good time is not excused by that time")
+    {
+        for (int i = 0; i < 100; ++i) {
+            site.window(100, 0.02, 50, 0.02);
+            site.next();
+        }
+        int windows = 0;
+        while (!site.compare().bad && windows < 100) {
+            site.window(100, 0.02, 50, 0.1);
+            site.next();
+            ++windows;
+        }
+        CHECK(windows <= 15);
+    }
     SUBCASE("one that turns bad late is found, and the cause names the route")
     {
         for (int i = 0; i < 100; ++i) {
