Keep moves by service, forget old ones, and measure what evidence costs

Cause: every driver read all moves of the cell at each poll, final ones for ever; a cold start was counted as slowness because traffic begins only when the configuration is in force. Ruled out: one key for all moves; forgetting at once (the same sheet may come again). Change: keys by service, a longer poll when nothing is open, final moves forgotten after 72 h; latency is compared from when the change is in force and targets had their warm-up.

--- a/gooseberrymoor/node/node.cpp
+++ b/gooseberrymoor/node/node.cpp
@@ -53,11 +53,6 @@
       m_network(executor, m_settings.name, m_settings.cell, m_events),
       m_membership(executor, m_store, m_settings.cell, memberFrom(m_settings), m_settings.storePoll,
                    m_network, m_events),
-      m_owner(
-          executor, [this](std::string_view target) { return ownsTarget(target); }, m_events),
-      m_leafServer(m_owner), m_gateway(m_settings.name, m_network, m_owner, m_events),
-      m_selector(randomNumber()), m_hedging(fixed_hedge_delay, m_settings.hedgePercent),
-      m_runner(m_gateway, m_selector, m_hedging),
       m_evidence(
           executor, m_settings.name, m_network,
           [this]() -> const cell_view & { return m_membership.view(); }, wallNow, m_events),
@@ -65,7 +60,11 @@
           executor, rolloutSettingsFrom(m_settings), m_store, m_configurations,
           m_evidence.evidence(), [this]() -> const cell_view & { return m_membership.view(); },
           wallNow, m_log, m_events),
-      m_admission(m_settings.maxQueries),
+      m_owner(
+          executor, [this](std::string_view target) { return ownsTarget(target); }, m_events),
+      m_leafServer(m_owner), m_gateway(m_settings.name, m_network, m_owner, m_events),
+      m_selector(randomNumber()), m_hedging(fixed_hedge_delay, m_settings.hedgePercent),
+      m_runner(m_gateway, m_selector, m_hedging), m_admission(m_settings.maxQueries),
       m_report({ m_settings, m_events, m_configurations, m_membership, m_network, m_owner, m_runner,
                  m_gateway, m_admission }),
       m_handler(
--- a/gooseberrymoor/node/node.h
+++ b/gooseberrymoor/node/node.h
@@ -64,14 +64,14 @@
     configuration_follower m_follower;
     peer_network m_network;
     membership_keeper m_membership;
+    evidence_exchange m_evidence;
+    rollout_driver m_rollout;
     target_owner m_owner;
     leaf_server m_leafServer;
     leaf_gateway m_gateway;
     least_outstanding_selector m_selector;
     fixed_hedge_policy m_hedging;
     query_runner m_runner;
-    evidence_exchange m_evidence;
-    rollout_driver m_rollout;
     entry_admission m_admission;
     state_report m_report;
     entry_handler m_handler;
--- a/gooseberrymoor/operators/moves_commands.cpp
+++ b/gooseberrymoor/operators/moves_commands.cpp
@@ -76,13 +76,15 @@
 asio::awaitable<tl::expected<std::vector<move_record>, std::string>>
 moves_commands::read(std::string id)
 {
-    const auto read = co_await m_store.readPrefix(movesPrefix(m_cell) + id);
+    const auto read = co_await m_store.readPrefix(movesPrefix(m_cell));
     if (!read)
         co_return tl::unexpected("the store cannot be read: " + read.error().detail);
     std::vector<std::string> malformed;
     auto records = movesFrom(*read, malformed);
     if (!malformed.empty())
         co_return tl::unexpected("a move in the store is malformed: " + malformed.front());
+    std::erase_if(records,
+                  [&id](const move_record &each) { return !id.empty() && each.plan.id != id; });
     co_return records;
 }
 
--- a/gooseberrymoor/operators/sheet_commands.cpp
+++ b/gooseberrymoor/operators/sheet_commands.cpp
@@ -37,7 +37,7 @@
     for (const planned_move &move : moves) {
         move_record record;
         record.plan = move;
-        const std::string key = movesPrefix(cell) + move.id;
+        const std::string key = moveKey(cell, move);
         transaction.compares.push_back({ key, 0 });
         transaction.puts.push_back({ key, encodeMove(record) });
     }
--- a/gooseberrymoor/rollout/move_codec.cpp
+++ b/gooseberrymoor/rollout/move_codec.cpp
@@ -73,6 +73,16 @@
     return "/gooseberrymoor/" + cell + "/moves/";
 }
 
+std::string movesPrefix(const std::string &cell, const std::string &service)
+{
+    return movesPrefix(cell) + (service.empty() ? "zones/" : "services/" + service + "/");
+}
+
+std::string moveKey(const std::string &cell, const planned_move &move)
+{
+    return movesPrefix(cell, move.service) + move.id;
+}
+
 std::string encodeMove(const move_record &record)
 {
     return json::serialize(json::object { { "id", record.plan.id },
--- a/gooseberrymoor/rollout/move_codec.h
+++ b/gooseberrymoor/rollout/move_codec.h
@@ -14,6 +14,12 @@
 // The key under which all moves of `cell` lie.
 std::string movesPrefix(const std::string &cell);
 
+// The key prefix of the moves of one service, or of the availability zones if it is empty.
+std::string movesPrefix(const std::string &cell, const std::string &service);
+
+// The key of a move.
+std::string moveKey(const std::string &cell, const planned_move &move);
+
 // JSON text of a move, as it lies in the store.
 std::string encodeMove(const move_record &record);
 
--- a/gooseberrymoor/rollout/move_decision.cpp
+++ b/gooseberrymoor/rollout/move_decision.cpp
@@ -228,7 +228,7 @@
     request.oldVersion = record.plan.from;
     request.newVersion = record.plan.to;
     request.countFrom = record.stepBegan;
-    request.latencyFrom = record.began + warmup;
+    request.latencyFrom = record.began + timing.inForce + warmup;
     request.planned = record.plan.finishBy - record.plan.begin;
     request.falseAlarms = timing.falseAlarms;
     return request;
--- a/gooseberrymoor/rollout/rollout_benchmark.cpp
+++ b/gooseberrymoor/rollout/rollout_benchmark.cpp
@@ -31,6 +31,7 @@
 constexpr double latency_spread = 0.5;
 constexpr int default_seeds = 100;
 constexpr double window_seconds = 5;
+constexpr int lost_with_vm = 6;
 
 // What is wrong with the new version, or with the whole site.
 struct scenario
@@ -42,6 +43,8 @@
     int fromWindow = 0; // bad only from this window on
     int routes = route_count; // bad on so many routes
     bool disturbed = false; // both versions fail and are slow at times
+    bool cold = false; // the new version is slow in the first window that it is asked in
+    bool vmDies = false; // a VM of the new version dies with all it runs
     bool isBad() const { return errors > usual_errors || slowdown > 1; }
 };
 
@@ -217,9 +220,13 @@
         for (int i = 0; i < requests; ++i) {
             const bool isNew = std::uniform_int_distribution(0, 999)(m_random) < share;
             const double errors = disturbed ? 0.3 : isNew && bad ? m_what.errors : usual_errors;
-            const double slowdown = (disturbed ? 4 : 1) * (isNew && bad ? m_what.slowdown : 1);
+            const bool cold = m_what.cold && isNew && window <= windows_until_in_force;
+            const double slowdown
+                = (disturbed ? 4 : 1) * (isNew && bad ? m_what.slowdown : 1) * (cold ? 4 : 1);
             (isNew ? addedNew : addedOld).add(endOf(errors), latencyOf(slowdown));
         }
+        if (m_what.vmDies && window == m_disturbedAt && node == 0 && route < lost_with_vm)
+            addedNew.add(error_kind::target_lost, duration(20));
         older.merge(addedOld);
         newer.merge(addedNew);
         allOld.merge(addedOld);
@@ -329,6 +336,8 @@
 const std::vector<scenario> scenarios {
     { "good" },
     { .name = "good, site disturbed", .disturbed = true },
+    { .name = "good, cold at first", .cold = true },
+    { .name = "good, one VM dies", .vmDies = true },
     { .name = "errors 5% at once", .errors = 0.05 },
     { .name = "errors 20% at once", .errors = 0.2 },
     { .name = "errors 100% at once", .errors = 1 },
--- a/gooseberrymoor/rollout/rollout_driver.cpp
+++ b/gooseberrymoor/rollout/rollout_driver.cpp
@@ -13,8 +13,16 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace gooseberrymoor {
 
+namespace {
+
+constexpr std::chrono::hours kept_when_final { 72 };
+
+} // namespace
+
 rollout_driver::rollout_driver(asio::any_io_executor executor, rollout_settings settings,
                                key_value_store &store, const configuration_holder &configurations,
                                const version_evidence &evidence, view_source view,
@@ -30,7 +38,7 @@
     while (!m_stopped) {
         co_await driveOnce();
         if (!m_stopped)
-            co_await m_wake.wait(millis_clock::now() + jitteredPoll());
+            co_await m_wake.wait(millis_clock::now() + nextPoll());
     }
 }
 
@@ -42,30 +50,53 @@
 
 asio::awaitable<void> rollout_driver::driveOnce()
 {
-    if (!drivesAnything())
-        co_return;
-    const auto read = co_await m_store.readPrefix(movesPrefix(m_settings.cell));
+    m_hasOpenMoves = false;
+    for (const std::string &service : drivenServices()) {
+        if (!m_stopped && drives(service))
+            co_await driveService(service);
+    }
+}
+
+asio::awaitable<void> rollout_driver::driveService(std::string service)
+{
+    const auto read = co_await m_store.readPrefix(movesPrefix(m_settings.cell, service));
     if (!read) {
         m_events.add("moves_not_read");
+        m_hasOpenMoves = true;
         co_return;
     }
     std::vector<std::string> malformed;
     const std::vector<move_record> records = movesFrom(*read, malformed);
     m_events.add("moves_malformed", malformed.size());
     for (const move_record &record : records) {
-        if (m_stopped)
+        if (m_stopped || !drives(service))
             co_return;
-        if (!drives(record.plan))
-            continue;
         noteChange(record);
-        co_await drive(record);
+        m_hasOpenMoves = m_hasOpenMoves || !isFinal(record.state);
+        if (isFinal(record.state))
+            co_await forgetIfOld(record);
+        else
+            co_await drive(record);
     }
 }
 
-asio::awaitable<void> rollout_driver::drive(move_record record)
+// A sheet that still holds the row cannot plan it anew: its finish time has passed.
+asio::awaitable<void> rollout_driver::forgetIfOld(move_record record)
 {
-    if (isFinal(record.state))
+    if (m_wallNow() < std::max(record.plan.finishBy, record.stepBegan) + kept_when_final)
+        co_return;
+    store_transaction transaction;
+    transaction.compares.push_back({ moveKey(m_settings.cell, record.plan), record.revision });
+    transaction.deletes.push_back(moveKey(m_settings.cell, record.plan));
+    const auto result = co_await m_store.transact(std::move(transaction));
+    if (!result || !result->succeeded)
         co_return;
+    m_seen.erase(record.plan.id);
+    m_events.add("moves_forgotten");
+}
+
+asio::awaitable<void> rollout_driver::drive(move_record record)
+{
     const auto current = m_configurations.current();
     if (current->revision == 0)
         co_return;
@@ -90,10 +121,10 @@
 store_transaction rollout_driver::transactionFor(const move_step &step, std::int64_t basis)
 {
     const configuration_keys keys(m_settings.cell);
-    const std::string moveKey = movesPrefix(m_settings.cell) + step.next.plan.id;
+    const std::string key = moveKey(m_settings.cell, step.next.plan);
     store_transaction transaction;
-    transaction.compares.push_back({ moveKey, step.next.revision });
-    transaction.puts.push_back({ moveKey, encodeMove(step.next) });
+    transaction.compares.push_back({ key, step.next.revision });
+    transaction.puts.push_back({ key, encodeMove(step.next) });
     if (!step.changesConfiguration())
         return transaction;
     transaction.compares.push_back({ keys.head(), basis });
@@ -108,22 +139,23 @@
     return transaction;
 }
 
-bool rollout_driver::drivesAnything() const
+// The empty service stands for the availability zones.
+std::vector<std::string> rollout_driver::drivenServices() const
 {
-    const cell_view &view = m_view();
-    if (driverOf(view, "") == m_settings.ownName)
-        return true;
+    std::vector<std::string> services;
+    if (drives(""))
+        services.emplace_back();
     const auto current = m_configurations.current();
     for (const auto &[name, service] : current->services) {
-        if (driverOf(view, name) == m_settings.ownName)
-            return true;
+        if (drives(name))
+            services.push_back(name);
     }
-    return false;
+    return services;
 }
 
-bool rollout_driver::drives(const planned_move &move) const
+bool rollout_driver::drives(const std::string &service) const
 {
-    return driverOf(m_view(), move.service) == m_settings.ownName;
+    return driverOf(m_view(), service) == m_settings.ownName;
 }
 
 // A final state that was never seen to change is history, not news.
@@ -147,11 +179,12 @@
                   { "detail", record.cause.detail } });
 }
 
-duration rollout_driver::jitteredPoll()
+// With jitter, so that drivers do not meet at the store.
+duration rollout_driver::nextPoll()
 {
-    const std::int64_t half = m_settings.poll.count() / 2;
-    std::uniform_int_distribution<std::int64_t> jitter(0, half);
-    return duration(m_settings.poll.count() - half / 2 + jitter(m_random));
+    const duration poll = m_hasOpenMoves ? m_settings.poll : m_settings.idlePoll;
+    std::uniform_int_distribution<std::int64_t> jitter(0, poll.count() / 2);
+    return poll - poll / 4 + duration(jitter(m_random));
 }
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/rollout/rollout_driver.h
+++ b/gooseberrymoor/rollout/rollout_driver.h
@@ -29,7 +29,8 @@
 {
     std::string ownName;
     std::string cell;
-    duration poll { 2000 }; // between two reads of the moves
+    duration poll { 2000 }; // between two reads of moves of which some are not final
+    duration idlePoll { 10'000 }; // between two reads if all are final, or there are none
     std::uint64_t seed = 0; // of the jitter and of operation ids
     move_timing timing;
 };
@@ -52,19 +53,21 @@
     // Follows moves until `stop`.
     asio::awaitable<void> run();
 
-    // Reads the moves once and writes at most one step for each.
+    // Reads the moves of each driven service once and writes at most one step for each.
     asio::awaitable<void> driveOnce();
 
     // Ends `run` at its next wait.
     void stop();
 
 private:
-    bool drivesAnything() const;
-    bool drives(const planned_move &move) const;
+    std::vector<std::string> drivenServices() const;
+    bool drives(const std::string &service) const;
+    asio::awaitable<void> driveService(std::string service);
     asio::awaitable<void> drive(move_record record);
+    asio::awaitable<void> forgetIfOld(move_record record);
     store_transaction transactionFor(const move_step &step, std::int64_t basis);
     void noteChange(const move_record &record);
-    duration jitteredPoll();
+    duration nextPoll();
 
     rollout_settings m_settings;
     key_value_store &m_store;
@@ -77,6 +80,7 @@
     signal m_wake;
     std::mt19937_64 m_random;
     std::map<std::string, move_state> m_seen; // states that were logged, by move
+    bool m_hasOpenMoves = false; // among those read last
     bool m_stopped = false;
 };
 
--- a/gooseberrymoor/rollout/rollout_driver_test.cpp
+++ b/gooseberrymoor/rollout/rollout_driver_test.cpp
@@ -60,6 +60,8 @@
         ++revision;
         for (const store_put &put : transaction.puts)
             entries[put.key] = { put.key, put.value, revision };
+        for (const std::string &key : transaction.deletes)
+            entries.erase(key);
         return true;
     }
 
@@ -208,7 +210,7 @@
             "", "standings", move_kind::version, "v1", "v2", start, start + std::chrono::minutes(30)
         };
         record.plan.id = moveIdOf(record.plan);
-        m_moveKey = movesPrefix("main") + record.plan.id;
+        m_moveKey = moveKey("main", record.plan);
         keys.apply({ {}, { { m_moveKey, encodeMove(record) } }, {} });
     }
 
@@ -241,6 +243,8 @@
 
     void advance(std::chrono::milliseconds step) { now += step; }
 
+    bool hasMove() const { return keys.entries.contains(m_moveKey); }
+
     move_record move() const { return *decodeMove(keys.entries.at(m_moveKey).value); }
 
     service_config service() const
@@ -464,5 +468,15 @@
         CHECK(cell.move().state == move_state::done);
         CHECK(cell.now <= cell.move().plan.finishBy);
         CHECK(cell.service().findVersion("v2")->sharePermille == 1000);
+
+        SUBCASE("and is forgotten some days later")
+        {
+            cell.advance(std::chrono::hours(71));
+            cell.round(cell.first());
+            REQUIRE(cell.hasMove());
+            cell.advance(std::chrono::hours(2));
+            cell.round(cell.first());
+            CHECK(!cell.hasMove());
+        }
     }
 }
