Halve the cost of a comparison and bound that of a new route

Cause: each stratum's logarithms were taken twice, and a request on a route beyond the bound built a set of all routes. Ruled out: comparing less often, which would delay a rollback. Change: one computation for both sums; look-ups in order of keys.

--- a/gooseberrymoor/rollout/sequential_detector.cpp
+++ b/gooseberrymoor/rollout/sequential_detector.cpp
@@ -5,23 +5,29 @@
 
 namespace gooseberrymoor {
 
-void sequential_detector::add(const marked_counts &counts)
+log_ratios logLikelihoodRatios(const odds_ratios &ratios, const marked_counts &counts)
 {
+    log_ratios result {};
     const double marked = counts.oldMarked + counts.newMarked;
     if (counts.oldTotal <= 0 || counts.newTotal <= 0 || marked <= 0)
-        return;
+        return result;
     const double total = counts.oldTotal + counts.newTotal;
-    for (std::size_t i = 0; i < guesses; ++i) {
-        const double weighted = m_ratios[i] * counts.newTotal + counts.oldTotal;
-        const double onNew = m_ratios[i] * total / weighted;
-        const double onOld = total / weighted;
-        m_window[i] += counts.newMarked * std::log(onNew) + counts.oldMarked * std::log(onOld);
+    for (std::size_t i = 0; i < odds_guesses; ++i) {
+        const double weighted = ratios[i] * counts.newTotal + counts.oldTotal;
+        result[i] = marked * std::log(total / weighted) + counts.newMarked * std::log(ratios[i]);
     }
+    return result;
+}
+
+void sequential_detector::add(const log_ratios &stratum)
+{
+    for (std::size_t i = 0; i < odds_guesses; ++i)
+        m_window[i] += stratum[i];
 }
 
 void sequential_detector::closeWindow()
 {
-    for (std::size_t i = 0; i < guesses; ++i) {
+    for (std::size_t i = 0; i < odds_guesses; ++i) {
         const double before = m_begun ? m_sum[i] : 0;
         const double grown
             = m_begun ? std::max(before, 0.0) + std::log1p(std::exp(-std::abs(before))) : 0;
@@ -39,7 +45,7 @@
     double sum = 0;
     for (const double each : m_sum)
         sum += std::exp(each - highest);
-    return highest + std::log(sum / guesses);
+    return highest + std::log(sum / odds_guesses);
 }
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/rollout/sequential_detector.h
+++ b/gooseberrymoor/rollout/sequential_detector.h
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <cstddef>
-#include <span>
 
 namespace gooseberrymoor {
 
@@ -15,20 +14,24 @@
     double newMarked = 0;
 };
 
+// How many times likelier a mark is on a bad version: several guesses, which are mixed.
+constexpr std::size_t odds_guesses = 4;
+using odds_ratios = std::array<double, odds_guesses>;
+using log_ratios = std::array<double, odds_guesses>;
+
+// Natural logarithms of how much likelier the marks of a stratum fell as they did if the new
+// version is bad by each of `ratios` than if both versions are alike. Zero where there is nothing
+// to compare.
+log_ratios logLikelihoodRatios(const odds_ratios &ratios, const marked_counts &counts);
+
 // Looks for a time from which marks fall more often on the new version than its part of the
 // requests explains. If both versions are alike, `evidence` has an expectation of at most 1 for
 // each window; so the probability that it ever reaches c within n windows is at most n / c.
 class sequential_detector
 {
 public:
-    // How many times likelier a mark is on a bad version, as a mixture of several guesses.
-    static constexpr std::size_t guesses = 4;
-    using odds_ratios = std::array<double, guesses>;
-
-    explicit sequential_detector(const odds_ratios &ratios) : m_ratios(ratios) { }
-
     // Adds one stratum to the present window.
-    void add(const marked_counts &counts);
+    void add(const log_ratios &stratum);
 
     // Ends the present window.
     void closeWindow();
@@ -37,9 +40,8 @@
     double logEvidence() const;
 
 private:
-    odds_ratios m_ratios;
-    std::array<double, guesses> m_window {}; // logarithm of the window's likelihood ratio
-    std::array<double, guesses> m_sum; // logarithm of the Shiryaev-Roberts sum
+    log_ratios m_window {};
+    log_ratios m_sum {}; // logarithm of the Shiryaev-Roberts sum
     bool m_begun = false;
 };
 
--- a/gooseberrymoor/rollout/version_evidence.cpp
+++ b/gooseberrymoor/rollout/version_evidence.cpp
@@ -22,8 +22,8 @@
 // A VM that dies loses all it was running at once; that counts as so many errors a window.
 constexpr std::uint32_t most_lost_a_window = 2;
 
-constexpr sequential_detector::odds_ratios error_ratios { 2, 5, 20, 100 };
-constexpr sequential_detector::odds_ratios latency_ratios { 1.5, 2.5, 5, 10 };
+constexpr odds_ratios error_ratios { 2, 5, 20, 100 };
+constexpr odds_ratios latency_ratios { 1.5, 2.5, 5, 10 };
 
 std::set<std::string> routesOf(const evidence_window &window, const std::string &service)
 {
@@ -72,8 +72,8 @@
 // The tests of one route, or of all routes together, and the sums that are shown to people.
 struct route_tests
 {
-    sequential_detector errors { error_ratios };
-    sequential_detector latency { latency_ratios };
+    sequential_detector errors;
+    sequential_detector latency;
     marked_counts errorSums;
     marked_counts slowSums;
 };
@@ -157,9 +157,11 @@
                                      newTally.errorsOf(newer) };
         const bool warm = index > windowOf(m_request.latencyFrom);
         const marked_counts slow = warm ? slowCounts(older, newer) : marked_counts {};
+        const auto errorEvidence = logLikelihoodRatios(error_ratios, errors);
+        const auto slowEvidence = logLikelihoodRatios(latency_ratios, slow);
         for (route_tests *tests : { &m_all, &m_tests[route] }) {
-            tests->errors.add(errors);
-            tests->latency.add(slow);
+            tests->errors.add(errorEvidence);
+            tests->latency.add(slowEvidence);
             addTo(tests->errorSums, errors);
             addTo(tests->slowSums, slow);
         }
@@ -197,12 +199,23 @@
     return name.substr(0, most_name_bytes);
 }
 
+// Whether a row of any version counts `route`.
+bool hasRoute(const evidence_window &window, const std::string &service, const std::string &route)
+{
+    const auto found = window.rows.lower_bound({ service, route, "" });
+    return found != window.rows.end() && found->first.service == service
+        && found->first.route == route;
+}
+
+// The name under which `route` is counted: its own, as long as there are not too many.
 std::string routeIn(const evidence_window &window, const std::string &service,
                     const std::string &route)
 {
-    const std::set<std::string> routes = routesOf(window, service);
-    const bool fits = routes.contains(route) || routes.size() + 1 < most_routes;
-    return fits ? route : other_routes;
+    if (hasRoute(window, service, route))
+        return route;
+    if (hasRoute(window, service, other_routes))
+        return other_routes;
+    return routesOf(window, service).size() + 1 < most_routes ? route : other_routes;
 }
 
 } // namespace
--- a/gooseberrymoor/rollout/version_evidence_test.cpp
+++ b/gooseberrymoor/rollout/version_evidence_test.cpp
@@ -276,18 +276,20 @@
     {
         constexpr int runs = 2000;
         constexpr int windows = 100;
+        const odds_ratios ratios { 2, 5, 20, 100 };
         const double c = std::log(windows / 0.05);
         int alarms = 0;
         for (unsigned seed = 1; seed <= runs; ++seed) {
             std::mt19937 random(seed);
-            sequential_detector detector({ 2, 5, 20, 100 });
+            sequential_detector detector;
             bool alarm = false;
             for (int window = 0; window < windows && !alarm; ++window) {
                 const double rate = window % 10 == 3 ? 0.4 : 0.02;
                 const int newErrors = std::binomial_distribution(10, rate)(random);
                 const int oldErrors = std::binomial_distribution(90, rate)(random);
-                detector.add(
-                    { 90, 10, static_cast<double>(oldErrors), static_cast<double>(newErrors) });
+                const marked_counts counts { 90, 10, static_cast<double>(oldErrors),
+                                             static_cast<double>(newErrors) };
+                detector.add(logLikelihoodRatios(ratios, counts));
                 detector.closeWindow();
                 alarm = detector.logEvidence() >= c;
             }
