--- a/gooseberrymoor/rollout/rollout_driver.h
+++ b/gooseberrymoor/rollout/rollout_driver.h
@@ -30,7 +30,7 @@
     std::string ownName;
     std::string cell;
     duration poll { 2000 }; // between two reads of moves of which some are not final
-    duration idlePoll { 10'000 }; // between two reads if all are final, or there are none
+    duration idlePoll { 5000 }; // between two reads if all are final, or there are none
     std::uint64_t seed = 0; // of the jitter and of operation ids
     move_timing timing;
 };
