Log the store's state in the property of two drivers

Cause: the name table of the test's store states was not used. Ruled out: no table; enumerations have one. Change: the property logs the state it draws.

--- a/gooseberrymoor/rollout/rollout_driver_test.cpp
+++ b/gooseberrymoor/rollout/rollout_driver_test.cpp
@@ -411,6 +411,7 @@
                     node.store.mood
                         = *rc::gen::element(store_mood::answers, store_mood::down,
                                             store_mood::answer_lost, store_mood::frozen);
+                    RC_LOG() << nameOf(node.store.mood) << '\n';
                     break;
                 case 1:
                     node.store.thaw();
