Tell one slow VM from a slow version

Ruled out: a bound on what one window may say (a slow VM is slow in all windows); holding the ramp (good versions would be late). Change: evidence names targets; in doubt the comparison is made again without the target that stands out, unless it has two thirds of the requests.

--- a/gooseberrymoor/rollout/evidence_codec.cpp
+++ b/gooseberrymoor/rollout/evidence_codec.cpp
@@ -27,11 +27,12 @@
     const auto service = builder.CreateSharedString(key.service);
     const auto route = builder.CreateSharedString(key.route);
     const auto version = builder.CreateSharedString(key.version);
+    const auto target = builder.CreateSharedString(key.target);
     const auto bucketVector = builder.CreateVector(buckets);
     const auto countVector = builder.CreateVector(bucketCounts);
-    return wire::Createevidence_row(builder, service, route, version, counts.answers, counts.failed,
-                                    counts.malformed, counts.timedOut, counts.lost, bucketVector,
-                                    countVector);
+    return wire::Createevidence_row(builder, service, route, version, target, counts.answers,
+                                    counts.failed, counts.malformed, counts.timedOut, counts.lost,
+                                    bucketVector, countVector);
 }
 
 // Reads the latencies of a row; whether they are well formed.
@@ -53,7 +54,7 @@
 bool isBounded(const evidence_key &key)
 {
     return key.service.size() <= most_name_bytes && key.route.size() <= most_name_bytes
-        && key.version.size() <= most_name_bytes;
+        && key.version.size() <= most_name_bytes && key.target.size() <= most_name_bytes;
 }
 
 } // namespace
@@ -84,7 +85,7 @@
     window.index = from->index();
     for (const wire::evidence_row *row : *from->rows()) {
         const evidence_key key { textOf(row->service()), textOf(row->route()),
-                                 textOf(row->version()) };
+                                 textOf(row->version()), textOf(row->target()) };
         version_counts counts;
         if (!isBounded(key) || !readLatency(*row, counts))
             return std::nullopt;
--- a/gooseberrymoor/rollout/evidence_cost_benchmark.cpp
+++ b/gooseberrymoor/rollout/evidence_cost_benchmark.cpp
@@ -12,6 +12,8 @@
 
 const wall_time start { std::chrono::hours(400'000) };
 constexpr int kept_windows = 120;
+constexpr int requests_a_row = 50;
+constexpr int targets = 15;
 
 evidence_window windowAt(int window, int routes)
 {
@@ -19,11 +21,12 @@
     counted.index = windowOf(start) + window;
     for (int route = 0; route < routes; ++route) {
         for (const char *version : { "v1", "v2" }) {
-            version_counts &counts
-                = counted.rows[{ "standings", "/route-" + std::to_string(route), version }];
-            for (int i = 0; i < 50; ++i)
-                counts.add(i == 7 ? error_kind::target_failed : error_kind::none,
-                           duration(10 + i * 3));
+            for (int i = 0; i < requests_a_row; ++i)
+                counted
+                    .rows[{ "standings", "/route-" + std::to_string(route), version,
+                            "target-" + std::to_string(i % targets) }]
+                    .add(i == 7 ? error_kind::target_failed : error_kind::none,
+                         duration(10 + i * 3));
         }
     }
     return counted;
--- a/gooseberrymoor/rollout/evidence_exchange_test.cpp
+++ b/gooseberrymoor/rollout/evidence_exchange_test.cpp
@@ -142,7 +142,8 @@
             const int rows = *rc::gen::inRange(0, 20);
             for (int i = 0; i < rows; ++i) {
                 version_counts &counts
-                    = window.rows[{ "s" + std::to_string(i % 3), "r" + std::to_string(i), "v" }];
+                    = window
+                          .rows[{ "s" + std::to_string(i % 3), "r" + std::to_string(i), "v", "t" }];
                 counts.answers = *rc::gen::arbitrary<std::uint32_t>();
                 counts.lost = *rc::gen::arbitrary<std::uint32_t>();
                 counts.timedOut = *rc::gen::arbitrary<std::uint32_t>();
@@ -155,7 +156,7 @@
     SUBCASE("that is refused if a byte of it was changed into nonsense, or read as another window")
     {
         evidence_window window;
-        window.rows[{ "standings", "/laps", "v1" }].add(error_kind::none, duration(20));
+        window.rows[{ "standings", "/laps", "v1", "a" }].add(error_kind::none, duration(20));
         const auto bytes = encodeEvidence(window);
         for (std::size_t i = 0; i < bytes.size(); ++i) {
             auto broken = bytes;
--- a/gooseberrymoor/rollout/evidence_window.h
+++ b/gooseberrymoor/rollout/evidence_window.h
@@ -22,12 +22,13 @@
 // Name under which all routes beyond `most_routes` are counted.
 constexpr const char *other_routes = "(other)";
 
-// Which version of which service was asked on which route. Value type.
+// Which target of which version of which service was asked on which route. Value type.
 struct evidence_key
 {
     std::string service;
     std::string route;
     std::string version;
+    std::string target; // empty: unknown, or of a window with too many rows
 
     auto operator<=>(const evidence_key &) const = default;
 };
--- a/gooseberrymoor/rollout/leaf_observation.h
+++ b/gooseberrymoor/rollout/leaf_observation.h
@@ -15,6 +15,7 @@
     std::string route; // as the caller named it; empty if it named none
     error_kind error = error_kind::none;
     duration latency {};
+    std::string target {}; // its name in the service; empty if it is not known
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/rollout/rollout_benchmark.cpp
+++ b/gooseberrymoor/rollout/rollout_benchmark.cpp
@@ -216,24 +216,27 @@
         const double mean = m_rate * window_seconds / node_count / route_count;
         const int requests = std::poisson_distribution<int>(mean)(m_random);
         const bool bad = isBadNow(window, share, route);
-        version_counts &older = counted.rows[{ "standings", name, "v1" }];
-        version_counts &newer = counted.rows[{ "standings", name, "v2" }];
         version_counts addedOld;
         version_counts addedNew;
         for (int i = 0; i < requests; ++i) {
             const bool isNew = std::uniform_int_distribution(0, 999)(m_random) < share;
             const double errors = disturbed ? 0.3 : isNew && bad ? m_what.errors : usual_errors;
+            const int vm = std::uniform_int_distribution(0, vms - 1)(m_random);
+            const bool slow = isNew && vm < m_what.slowVms;
             const bool cold = m_what.cold && isNew && window <= windows_until_in_force;
             const double slowdown = (disturbed ? 4 : 1) * (isNew && bad ? m_what.slowdown : 1)
-                * (cold ? 4 : 1)
-                * (isNew && std::uniform_int_distribution(1, vms)(m_random) <= m_what.slowVms ? 5
-                                                                                              : 1);
-            (isNew ? addedNew : addedOld).add(endOf(errors), latencyOf(slowdown));
+                * (cold ? 4 : 1) * (slow ? 5 : 1);
+            version_counts ended;
+            ended.add(endOf(errors), latencyOf(slowdown));
+            counted.rows[{ "standings", name, isNew ? "v2" : "v1", std::to_string(vm) }].merge(
+                ended);
+            (isNew ? addedNew : addedOld).merge(ended);
         }
-        if (m_what.vmDies && window == m_disturbedAt && node == 0 && route < lost_with_vm)
+        if (m_what.vmDies && window == m_disturbedAt && node == 0 && route < lost_with_vm) {
             addedNew.add(error_kind::target_lost, duration(20));
-        older.merge(addedOld);
-        newer.merge(addedNew);
+            counted.rows[{ "standings", name, "v2", "0" }].add(error_kind::target_lost,
+                                                               duration(20));
+        }
         allOld.merge(addedOld);
         allNew.merge(addedNew);
         m_outcome.newRequests += addedNew.ended();
--- a/gooseberrymoor/rollout/version_evidence.h
+++ b/gooseberrymoor/rollout/version_evidence.h
@@ -20,6 +20,9 @@
 // evidence against the new one. Each stratum gives a likelihood ratio; their running sum of
 // products over all possible beginnings (Shiryaev-Roberts) finds a version that turns bad late,
 // and may be looked at after each window: its expectation grows by no more than 1 a window.
+//
+// What one target of several explains speaks against that target, not against the version: if the
+// new version is in doubt, the comparison is made again without the target that stands out most.
 class version_evidence
 {
 public:
--- a/gooseberrymoor/rollout/version_evidence_generated.h
+++ b/gooseberrymoor/rollout/version_evidence_generated.h
@@ -29,13 +29,14 @@
     VT_SERVICE = 4,
     VT_ROUTE = 6,
     VT_VERSION = 8,
-    VT_ANSWERS = 10,
-    VT_FAILED = 12,
-    VT_MALFORMED = 14,
-    VT_TIMED_OUT = 16,
-    VT_LOST = 18,
-    VT_LATENCY_BUCKETS = 20,
-    VT_LATENCY_COUNTS = 22
+    VT_TARGET = 10,
+    VT_ANSWERS = 12,
+    VT_FAILED = 14,
+    VT_MALFORMED = 16,
+    VT_TIMED_OUT = 18,
+    VT_LOST = 20,
+    VT_LATENCY_BUCKETS = 22,
+    VT_LATENCY_COUNTS = 24
   };
   const flatbuffers::String *service() const {
     return GetPointer<const flatbuffers::String *>(VT_SERVICE);
@@ -46,6 +47,9 @@
   const flatbuffers::String *version() const {
     return GetPointer<const flatbuffers::String *>(VT_VERSION);
   }
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
   uint32_t answers() const {
     return GetField<uint32_t>(VT_ANSWERS, 0);
   }
@@ -75,6 +79,8 @@
            verifier.VerifyString(route()) &&
            VerifyOffset(verifier, VT_VERSION) &&
            verifier.VerifyString(version()) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
            VerifyField<uint32_t>(verifier, VT_ANSWERS, 4) &&
            VerifyField<uint32_t>(verifier, VT_FAILED, 4) &&
            VerifyField<uint32_t>(verifier, VT_MALFORMED, 4) &&
@@ -101,6 +107,9 @@
   void add_version(flatbuffers::Offset<flatbuffers::String> version) {
     fbb_.AddOffset(evidence_row::VT_VERSION, version);
   }
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(evidence_row::VT_TARGET, target);
+  }
   void add_answers(uint32_t answers) {
     fbb_.AddElement<uint32_t>(evidence_row::VT_ANSWERS, answers, 0);
   }
@@ -138,6 +147,7 @@
     flatbuffers::Offset<flatbuffers::String> service = 0,
     flatbuffers::Offset<flatbuffers::String> route = 0,
     flatbuffers::Offset<flatbuffers::String> version = 0,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
     uint32_t answers = 0,
     uint32_t failed = 0,
     uint32_t malformed = 0,
@@ -153,6 +163,7 @@
   builder_.add_malformed(malformed);
   builder_.add_failed(failed);
   builder_.add_answers(answers);
+  builder_.add_target(target);
   builder_.add_version(version);
   builder_.add_route(route);
   builder_.add_service(service);
@@ -169,6 +180,7 @@
     const char *service = nullptr,
     const char *route = nullptr,
     const char *version = nullptr,
+    const char *target = nullptr,
     uint32_t answers = 0,
     uint32_t failed = 0,
     uint32_t malformed = 0,
@@ -179,6 +191,7 @@
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto route__ = route ? _fbb.CreateString(route) : 0;
   auto version__ = version ? _fbb.CreateString(version) : 0;
+  auto target__ = target ? _fbb.CreateString(target) : 0;
   auto latency_buckets__ = latency_buckets ? _fbb.CreateVector<uint8_t>(*latency_buckets) : 0;
   auto latency_counts__ = latency_counts ? _fbb.CreateVector<uint32_t>(*latency_counts) : 0;
   return gooseberrymoor::wire::Createevidence_row(
@@ -186,6 +199,7 @@
       service__,
       route__,
       version__,
+      target__,
       answers,
       failed,
       malformed,
--- a/gooseberrymoor/rollout/version_evidence_test.cpp
+++ b/gooseberrymoor/rollout/version_evidence_test.cpp
@@ -205,6 +205,49 @@
             CHECK(slow.compare().cause.reason == rollback_reason::latency);
         }
     }
+    SUBCASE("one slow VM of several is no slow version, but most of them are")
+    {
+        for (const int slowVms : { 1, 8 }) {
+            version_evidence evidence;
+            std::mt19937 random(5);
+            bool bad = false;
+            for (int window = 0; window < 100; ++window) {
+                for (int i = 0; i < 150; ++i) {
+                    const int vm = i % 15;
+                    const double usual
+                        = 20 * std::exp(std::normal_distribution<double>(0, 0.5)(random));
+                    const double slow = vm < slowVms ? 5 * usual : usual;
+                    const auto at
+                        = [](double took) { return duration(static_cast<std::int64_t>(took)); };
+                    const std::string name = std::to_string(vm);
+                    evidence.record(
+                        "n1", { "standings", "v2", "/", error_kind::none, at(slow), "new-" + name },
+                        after(window));
+                    evidence.record(
+                        "n1",
+                        { "standings", "v1", "/", error_kind::none, at(usual), "old-" + name },
+                        after(window));
+                }
+                bad = bad || evidence.compare(wanted(), after(window + 1)).bad;
+            }
+            CHECK_MESSAGE(bad == (slowVms > 1), slowVms);
+        }
+    }
+    SUBCASE("one bad VM cannot be told from the version if it has most of the requests")
+    {
+        version_evidence evidence;
+        for (int i = 0; i < 300; ++i) {
+            const bool first = i % 5 > 0;
+            evidence.record("n1",
+                            { "standings", "v2", "/",
+                              first ? error_kind::target_failed : error_kind::none, duration(20),
+                              first ? "a" : "b" },
+                            after(0));
+            evidence.record("n1", { "standings", "v1", "/", error_kind::none, duration(20), "c" },
+                            after(0));
+        }
+        CHECK(evidence.compare(wanted(), after(1)).bad);
+    }
     SUBCASE("an open window is not looked at")
     {
         site.window(100, 0, 100, 1);
@@ -230,8 +273,8 @@
     version_evidence evidence;
     evidence_window window;
     window.index = windowOf(start);
-    window.rows[{ "standings", "/", "v1" }].answers = 90;
-    window.rows[{ "standings", "/", "v2" }].answers = 7;
+    window.rows[{ "standings", "/", "v1", "" }].answers = 90;
+    window.rows[{ "standings", "/", "v2", "" }].answers = 7;
     const auto requests = [&evidence] { return evidence.compare(wanted(), after(1)).requests; };
     SUBCASE("and a repeat changes nothing")
     {
