Let a move wait for another that changes the same

Cause: a sheet may plan v2 to v3 from the time at which v1 to v2 should be done; if that is late, both moves set the shares of v2 at once. Ruled out: a check of the sheet alone, which cannot know that a move will be late. Change: a planned move waits for an open one of the same service or zone that is under way or earlier.

--- a/gooseberrymoor/rollout/move_decision.cpp
+++ b/gooseberrymoor/rollout/move_decision.cpp
@@ -4,6 +4,7 @@
 #include "gooseberrymoor/rollout/rollout_ramp.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace gooseberrymoor {
 
@@ -234,6 +235,20 @@
     return request;
 }
 
+bool mustWait(const move_record &record, const std::vector<move_record> &all)
+{
+    if (record.state != move_state::planned)
+        return false;
+    return std::ranges::any_of(all, [&record](const move_record &other) {
+        const planned_move &plan = other.plan;
+        if (isFinal(other.state) || !haveSameSubject(plan, record.plan))
+            return false;
+        const bool earlier
+            = std::tie(plan.begin, plan.id) < std::tie(record.plan.begin, record.plan.id);
+        return other.state != move_state::planned || earlier;
+    });
+}
+
 std::optional<move_step> decideMove(const move_record &record, const configuration &current,
                                     const version_comparison &evidence, const move_timing &timing,
                                     wall_time now)
--- a/gooseberrymoor/rollout/move_decision.h
+++ b/gooseberrymoor/rollout/move_decision.h
@@ -6,6 +6,7 @@
 #include "gooseberrymoor/rollout/version_comparison.h"
 
 #include <optional>
+#include <vector>
 
 namespace gooseberrymoor {
 
@@ -15,6 +16,10 @@
 comparison_request comparisonFor(const move_record &record, const configuration &current,
                                  const move_timing &timing);
 
+// Whether the planned move `record` must wait for another of `all`, read at the same time, that
+// changes the same: one that is under way, or an earlier one that has not begun.
+bool mustWait(const move_record &record, const std::vector<move_record> &all);
+
 // What is to be done for a move now, or nothing. A pure function of its arguments: any node with
 // the same view of them comes to the same step. The step may be written only if neither the move
 // (`record.revision`) nor, if it changes it, the configuration (`current.revision`) has changed.
--- a/gooseberrymoor/rollout/planned_move.cpp
+++ b/gooseberrymoor/rollout/planned_move.cpp
@@ -7,6 +7,14 @@
 
 namespace gooseberrymoor {
 
+bool haveSameSubject(const planned_move &a, const planned_move &b)
+{
+    const bool aVersion = a.kind == move_kind::version;
+    if (aVersion != (b.kind == move_kind::version))
+        return false;
+    return aVersion ? a.service == b.service : a.zone() == b.zone();
+}
+
 std::string moveIdOf(const planned_move &move)
 {
     const std::string separator(1, '\0');
--- a/gooseberrymoor/rollout/planned_move.h
+++ b/gooseberrymoor/rollout/planned_move.h
@@ -24,6 +24,9 @@
     bool operator==(const planned_move &) const = default;
 };
 
+// Whether both change the versions of one service, or the same availability zone.
+bool haveSameSubject(const planned_move &a, const planned_move &b);
+
 // The identity of a move: the same for the same row in every sheet, 16 hexadecimal digits.
 std::string moveIdOf(const planned_move &move);
 
--- a/gooseberrymoor/rollout/rollout_driver.cpp
+++ b/gooseberrymoor/rollout/rollout_driver.cpp
@@ -75,7 +75,7 @@
         m_hasOpenMoves = m_hasOpenMoves || !isFinal(record.state);
         if (isFinal(record.state))
             co_await forgetIfOld(record);
-        else
+        else if (!mustWait(record, records))
             co_await drive(record);
     }
 }
--- a/gooseberrymoor/rollout/rollout_driver_test.cpp
+++ b/gooseberrymoor/rollout/rollout_driver_test.cpp
@@ -366,6 +366,38 @@
         CHECK(cell.move().state == move_state::rolled_back);
         CHECK(cell.first().events.value("move_steps_conflict") == 1);
     }
+    SUBCASE("and a later move of the same service waits until the first has ended")
+    {
+        move_record later;
+        later.plan = { "",
+                       "standings",
+                       move_kind::version,
+                       "v2",
+                       "v1",
+                       start + std::chrono::minutes(30),
+                       start + std::chrono::minutes(60) };
+        later.plan.id = moveIdOf(later.plan);
+        const std::string key = moveKey("main", later.plan);
+        cell.keys.apply({ {}, { { key, encodeMove(later) } }, {} });
+        cell.advance(std::chrono::minutes(40));
+        for (int i = 0; i < 3; ++i) {
+            cell.first().follow();
+            cell.round(cell.first());
+        }
+        CHECK(cell.move().state == move_state::late);
+        CHECK(decodeMove(cell.keys.entries.at(key).value)->state == move_state::planned);
+        CHECK(cell.service().findVersion("v1")->sharePermille
+                  + cell.service().findVersion("v2")->sharePermille
+              == 1000);
+        cell.observe(1000, 900);
+        cell.advance(evidence_window_length);
+        for (int i = 0; i < 3; ++i) {
+            cell.first().follow();
+            cell.round(cell.first());
+        }
+        REQUIRE(cell.move().state == move_state::rolled_back);
+        CHECK(decodeMove(cell.keys.entries.at(key).value)->state != move_state::planned);
+    }
     SUBCASE("and stops at once with the node")
     {
         cell.first().driver.stop();
--- a/gooseberrymoor/rollout/sheet.cpp
+++ b/gooseberrymoor/rollout/sheet.cpp
@@ -151,15 +151,6 @@
     return a.begin < b.finishBy && b.begin < a.finishBy;
 }
 
-// Whether both change the same versions of a service, or the same availability zone.
-bool sameSubject(const planned_move &a, const planned_move &b)
-{
-    const bool aVersion = a.kind == move_kind::version;
-    if (aVersion != (b.kind == move_kind::version))
-        return false;
-    return aVersion ? a.service == b.service : a.zone() == b.zone();
-}
-
 void checkPairs(const std::vector<sheet_row> &rows, fault_list &faults)
 {
     for (std::size_t i = 0; i < rows.size(); ++i) {
@@ -169,7 +160,7 @@
             const std::string other = "row " + std::to_string(rows[j].row);
             if (later.id == earlier.id)
                 faults.push_back({ rows[i].row, "", "repeats " + other, "delete one of them" });
-            else if (sameSubject(later, earlier) && overlap(later, earlier))
+            else if (haveSameSubject(later, earlier) && overlap(later, earlier))
                 faults.push_back({ rows[i].row, "begin", "overlaps in time with " + other,
                                    "let it begin at the finish_by of the other, or delete one" });
         }
@@ -266,7 +257,7 @@
 void checkKnown(const sheet_row &row, const std::vector<move_record> &known, fault_list &faults)
 {
     for (const move_record &other : known) {
-        if (!isFinal(other.state) && sameSubject(row.move, other.plan)
+        if (!isFinal(other.state) && haveSameSubject(row.move, other.plan)
             && overlap(row.move, other.plan))
             faults.push_back({ row.row, "begin", "overlaps in time with move " + other.plan.id,
                                "wait until that move is done, or plan it for later" });
