--- a/gooseberrymoor/decisions.h
+++ b/gooseberrymoor/decisions.h
@@ -22,3 +22,6 @@
 #include "gooseberrymoor/query/snapshot_preference.h" // which snapshot a query begins with
 #include "gooseberrymoor/query/two_choice_selector.h" // which target is asked
 #include "gooseberrymoor/query/version_choice.h" // which version is asked
+#include "gooseberrymoor/rollout/move_decision.h" // what a planned move does next
+#include "gooseberrymoor/rollout/sheet.h" // whether planned moves may be applied
+#include "gooseberrymoor/rollout/version_evidence.h" // whether a version is worse than another
--- a/gooseberrymoor/node/node.cpp
+++ b/gooseberrymoor/node/node.cpp
@@ -57,6 +57,21 @@
              settings.peerAddress, settings.entryAddress, false };
 }
 
+rollout_settings rolloutSettingsFrom(const node_settings &settings)
+{
+    rollout_settings rollout;
+    rollout.ownName = settings.name;
+    rollout.cell = settings.cell;
+    rollout.seed = randomNumber();
+    rollout.timing.longestRequest = settings.maxTimeout;
+    return rollout;
+}
+
+wall_time wallNow()
+{
+    return std::chrono::time_point_cast<wall_time::duration>(std::chrono::system_clock::now());
+}
+
 } // namespace
 
 node::node(asio::any_io_executor executor, node_settings settings, event_log &log)
@@ -71,11 +86,19 @@
       m_relay(executor, m_intake, m_spread, m_network, m_settings.announce, m_events),
       m_membership(executor, m_store, m_settings.cell, memberFrom(m_settings), m_settings.storePoll,
                    ownershipTiming(m_settings), m_network, m_events),
+      m_evidence(
+          executor, m_settings.name, m_network,
+          [this]() -> const cell_view & { return m_membership.view(); }, wallNow, m_events),
+      m_rollout(
+          executor, rolloutSettingsFrom(m_settings), m_store, m_configurations,
+          m_evidence.evidence(), [this]() -> const cell_view & { return m_membership.view(); },
+          wallNow, m_log, m_events),
       m_owner(executor, m_membership.owners(), m_settings.maxTimeout, m_events),
       m_leafServer(m_owner), m_gateway(m_settings.name, m_network, m_owner, m_events),
       m_selector(m_settings.availabilityZone, randomNumber()), m_hedging(m_settings.hedgePercent),
       m_extraBudget(m_settings.hedgePercent), m_random(randomNumber()),
-      m_runner(m_gateway, { m_selector, m_hedging, m_extraBudget, m_snapshots, m_random }),
+      m_runner(m_gateway,
+               { m_selector, m_hedging, m_extraBudget, m_snapshots, m_random, &m_evidence }),
       m_admission(m_settings.maxQueries),
       m_report({ m_settings, m_events, m_configurations, m_intake, m_spread, m_membership,
                  m_network, m_owner, m_runner, m_gateway, m_admission }),
@@ -90,6 +113,7 @@
     m_network.setHandler(message_kind::leaf_response, m_gateway);
     m_network.setHandler(message_kind::configuration_update, m_relay);
     m_intake.addListener(m_relay);
+    m_network.setHandler(message_kind::version_evidence, m_evidence);
     m_membership.addListener(*this);
     m_membership.setWork(m_owner);
 }
@@ -105,6 +129,8 @@
     startTask(m_executor, m_events, "relay", m_relay.run());
     startTask(m_executor, m_events, "membership", m_membership.run());
     startTask(m_executor, m_events, "changes", followConfiguration());
+    startTask(m_executor, m_events, "evidence", m_evidence.run());
+    startTask(m_executor, m_events, "rollout", m_rollout.run());
     m_log.write("node_started",
                 { { "entry", toString(m_settings.entryAddress) },
                   { "peer", toString(m_settings.peerAddress) },
@@ -115,6 +141,7 @@
 asio::awaitable<void> node::stop()
 {
     m_log.write("node_leaving", {});
+    m_rollout.stop();
     m_admission.setPhase(entry_phase::leaving);
     m_server.startDraining();
     const time_point began = millis_clock::now();
@@ -132,6 +159,7 @@
         co_await m_membership.leave(millis_clock::now() + store_patience);
     m_stopped = true;
     m_owner.stop();
+    m_evidence.stop();
     m_follower.stop();
     m_relay.stop();
     m_membership.stop();
--- a/gooseberrymoor/node/node.h
+++ b/gooseberrymoor/node/node.h
@@ -22,6 +22,8 @@
 #include "gooseberrymoor/query/query_runner.h"
 #include "gooseberrymoor/query/snapshot_preference.h"
 #include "gooseberrymoor/query/two_choice_selector.h"
+#include "gooseberrymoor/rollout/evidence_exchange.h"
+#include "gooseberrymoor/rollout/rollout_driver.h"
 #include "gooseberrymoor/settings/node_settings.h"
 #include "gooseberrymoor/store/etcd_store.h"
 #include "gooseberrymoor/target/target_owner.h"
@@ -73,6 +75,8 @@
     peer_network m_network;
     configuration_relay m_relay;
     membership_keeper m_membership;
+    evidence_exchange m_evidence;
+    rollout_driver m_rollout;
     target_owner m_owner;
     leaf_server m_leafServer;
     leaf_gateway m_gateway;
--- /dev/null
+++ b/gooseberrymoor/operators/moves_command.cpp
@@ -0,0 +1,30 @@
+#include "gooseberrymoor/operators/moves_command.h"
+
+#include "gooseberrymoor/operators/moves_commands.h"
+#include "gooseberrymoor/operators/store_session.h"
+
+#include <iostream>
+
+namespace gooseberrymoor {
+
+namespace {
+
+constexpr duration follow_poll { 1000 };
+
+} // namespace
+
+asio::awaitable<exit_code> moves_command::run(command_arguments arguments)
+{
+    auto session = store_session::open(arguments);
+    if (!session) {
+        std::cerr << session.error() << "\n";
+        co_return exit_code::bad_input;
+    }
+    moves_commands commands(session->store(), arguments.text("--cell"), std::cout,
+                            arguments.has("--json"));
+    if (arguments.has("follow"))
+        co_return co_await commands.follow(arguments.text("ID"), follow_poll);
+    co_return co_await commands.list();
+}
+
+} // namespace gooseberrymoor
--- a/gooseberrymoor/operators/operator_commands.cpp
+++ b/gooseberrymoor/operators/operator_commands.cpp
@@ -2,8 +2,10 @@
 
 #include "gooseberrymoor/operators/dump_command.h"
 #include "gooseberrymoor/operators/limits_command.h"
+#include "gooseberrymoor/operators/moves_command.h"
 #include "gooseberrymoor/operators/service_command.h"
 #include "gooseberrymoor/operators/settings_command.h"
+#include "gooseberrymoor/operators/sheet_command.h"
 #include "gooseberrymoor/operators/snapshot_command.h"
 #include "gooseberrymoor/operators/status_command.h"
 #include "gooseberrymoor/operators/target_command.h"
@@ -34,6 +36,8 @@
     commands.push_back(std::make_unique<version_command>());
     commands.push_back(std::make_unique<snapshot_command>());
     commands.push_back(std::make_unique<zone_command>());
+    commands.push_back(std::make_unique<sheet_command>());
+    commands.push_back(std::make_unique<moves_command>());
     commands.push_back(std::make_unique<status_command>());
     commands.push_back(std::make_unique<dump_command>());
     return commands;
@@ -84,6 +88,9 @@
   gooseberrymoor zone out ZONE --store=ADDRESSES [options]
   gooseberrymoor zone in ZONE --store=ADDRESSES [options]
   gooseberrymoor zone list --store=ADDRESSES [options]
+  gooseberrymoor sheet (check | apply) FILE --store=ADDRESSES [options]
+  gooseberrymoor moves list --store=ADDRESSES [options]
+  gooseberrymoor moves follow [ID] --store=ADDRESSES [options]
   gooseberrymoor status --store=ADDRESSES [options]
   gooseberrymoor status --node=ADDRESS [options]
   gooseberrymoor dump --node=ADDRESS
--- a/gooseberrymoor/operators/store_session.h
+++ b/gooseberrymoor/operators/store_session.h
@@ -35,6 +35,9 @@
     // Writes `change`, made from the configuration at revision `basis`.
     asio::awaitable<change_result> write(std::int64_t basis, configuration_change change);
 
+    // The store itself, for what is no change of the configuration.
+    key_value_store &store() { return *m_store; }
+
     const configuration_keys &keys() const { return m_keys; }
 
 private:
--- /dev/null
+++ b/gooseberrymoor/rollout/sequential_detector.cpp
@@ -0,0 +1,51 @@
+#include "gooseberrymoor/rollout/sequential_detector.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gooseberrymoor {
+
+log_ratios logLikelihoodRatios(const odds_ratios &ratios, const marked_counts &counts)
+{
+    log_ratios result {};
+    const double marked = counts.oldMarked + counts.newMarked;
+    if (counts.oldTotal <= 0 || counts.newTotal <= 0 || marked <= 0)
+        return result;
+    const double total = counts.oldTotal + counts.newTotal;
+    for (std::size_t i = 0; i < odds_guesses; ++i) {
+        const double weighted = ratios[i] * counts.newTotal + counts.oldTotal;
+        result[i] = marked * std::log(total / weighted) + counts.newMarked * std::log(ratios[i]);
+    }
+    return result;
+}
+
+void sequential_detector::add(const log_ratios &stratum)
+{
+    for (std::size_t i = 0; i < odds_guesses; ++i)
+        m_window[i] += stratum[i];
+}
+
+void sequential_detector::closeWindow()
+{
+    for (std::size_t i = 0; i < odds_guesses; ++i) {
+        const double before = m_begun ? m_sum[i] : 0;
+        const double grown
+            = m_begun ? std::max(before, 0.0) + std::log1p(std::exp(-std::abs(before))) : 0;
+        m_sum[i] = grown + m_window[i];
+        m_window[i] = 0;
+    }
+    m_begun = true;
+}
+
+double sequential_detector::logEvidence() const
+{
+    if (!m_begun)
+        return 0;
+    const double highest = *std::ranges::max_element(m_sum);
+    double sum = 0;
+    for (const double each : m_sum)
+        sum += std::exp(each - highest);
+    return highest + std::log(sum / odds_guesses);
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/rollout/sequential_detector.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+
+namespace gooseberrymoor {
+
+// One stratum of a comparison: marked requests (errors, or slow ones) of two versions.
+struct marked_counts
+{
+    double oldTotal = 0;
+    double newTotal = 0;
+    double oldMarked = 0;
+    double newMarked = 0;
+};
+
+// How many times likelier a mark is on a bad version: several guesses, which are mixed.
+constexpr std::size_t odds_guesses = 4;
+using odds_ratios = std::array<double, odds_guesses>;
+using log_ratios = std::array<double, odds_guesses>;
+
+// Natural logarithms of how much likelier the marks of a stratum fell as they did if the new
+// version is bad by each of `ratios` than if both versions are alike. Zero where there is nothing
+// to compare.
+log_ratios logLikelihoodRatios(const odds_ratios &ratios, const marked_counts &counts);
+
+// Looks for a time from which marks fall more often on the new version than its part of the
+// requests explains. If both versions are alike, `evidence` has an expectation of at most 1 for
+// each window; so the probability that it ever reaches c within n windows is at most n / c.
+class sequential_detector
+{
+public:
+    // Adds one stratum to the present window.
+    void add(const log_ratios &stratum);
+
+    // Ends the present window.
+    void closeWindow();
+
+    // Natural logarithm of the evidence after the last closed window.
+    double logEvidence() const;
+
+private:
+    log_ratios m_window {};
+    log_ratios m_sum {}; // logarithm of the Shiryaev-Roberts sum
+    bool m_begun = false;
+};
+
+} // namespace gooseberrymoor
