--- a/gooseberrymoor/http/http_message.h
+++ b/gooseberrymoor/http/http_message.h
@@ -6,6 +6,7 @@
 
 namespace gooseberrymoor {
 
+class cancellation;
 class http_body_source;
 
 // One HTTP request without its connection. Value type.
@@ -22,6 +23,7 @@
     std::string method;
     std::string path; // with the query string
     std::string body; // JSON
+    std::shared_ptr<cancellation> abandoned; // cancelled when the client closes; may be null
 };
 
 // The answer to an `http_request`. Value type.
--- a/gooseberrymoor/node/node.cpp
+++ b/gooseberrymoor/node/node.cpp
@@ -11,18 +11,34 @@
 
 namespace {
 
-constexpr duration fixed_hedge_delay { 50 };
 constexpr duration change_check { 50 };
 constexpr duration drain_check { 10 };
 constexpr duration store_patience { 3000 };
 
+std::set<std::string> targetsOf(const configuration &current)
+{
+    std::set<std::string> targets;
+    for (const auto &[name, service] : current.services) {
+        for (const group_config &group : service.groups) {
+            for (const target_config &target : group.targets)
+                targets.insert(name + "/" + target.name);
+        }
+    }
+    return targets;
+}
+
+ownership_timing timingFrom(const node_settings &settings)
+{
+    return { settings.heartbeat, settings.lease, settings.maxTimeout };
+}
+
 std::uint64_t randomNumber()
 {
     std::random_device source;
     return std::uniform_int_distribution<std::uint64_t>()(source);
 }
 
-spread_timing timingFrom(const node_settings &settings)
+spread_timing spreadTimingFrom(const node_settings &settings)
 {
     spread_timing timing;
     timing.readers = settings.storeReaders;
@@ -46,20 +62,21 @@
 node::node(asio::any_io_executor executor, node_settings settings, event_log &log)
     : m_executor(executor), m_settings(std::move(settings)), m_log(log),
       m_store(m_settings.storeAddresses, m_settings.storeTimeout, m_events),
-      m_spread(m_settings.name, timingFrom(m_settings), static_cast<std::uint32_t>(randomNumber()),
-               millis_clock::now()),
+      m_spread(m_settings.name, spreadTimingFrom(m_settings),
+               static_cast<std::uint32_t>(randomNumber()), millis_clock::now()),
       m_intake(configuration_keys(m_settings.cell), m_configurations, m_spread, m_events),
       m_follower(executor, m_store, configuration_keys(m_settings.cell), m_intake, m_spread,
                  m_events),
       m_network(executor, m_settings.name, m_settings.cell, m_events),
       m_relay(executor, m_intake, m_spread, m_network, m_settings.announce, m_events),
       m_membership(executor, m_store, m_settings.cell, memberFrom(m_settings), m_settings.storePoll,
-                   m_network, m_events),
-      m_owner(
-          executor, [this](std::string_view target) { return ownsTarget(target); }, m_events),
+                   timingFrom(m_settings), m_network, m_events),
+      m_owner(executor, m_membership.owners(), m_settings.maxTimeout, m_events),
       m_leafServer(m_owner), m_gateway(m_settings.name, m_network, m_owner, m_events),
-      m_selector(randomNumber()), m_hedging(fixed_hedge_delay, m_settings.hedgePercent),
-      m_runner(m_gateway, m_selector, m_hedging), m_admission(m_settings.maxQueries),
+      m_selector(m_settings.availabilityZone, randomNumber()), m_hedging(m_settings.hedgePercent),
+      m_extraBudget(m_settings.hedgePercent), m_random(randomNumber()),
+      m_runner(m_gateway, { m_selector, m_hedging, m_extraBudget, m_snapshots, m_random }),
+      m_admission(m_settings.maxQueries),
       m_report({ m_settings, m_events, m_configurations, m_intake, m_spread, m_membership,
                  m_network, m_owner, m_runner, m_gateway, m_admission }),
       m_handler(
@@ -74,6 +91,7 @@
     m_network.setHandler(message_kind::configuration_update, m_relay);
     m_intake.addListener(m_relay);
     m_membership.addListener(*this);
+    m_membership.setWork(m_owner);
 }
 
 tl::expected<void, std::string> node::start()
@@ -103,13 +121,17 @@
     const bool told = co_await m_membership.markLeaving(began + store_patience);
     if (!told)
         m_log.write("leave_not_recorded", { { "reason", "store did not answer" } });
-    m_owner.update(*m_configurations.current());
-    co_await m_wake.wait(began + m_settings.linger);
+    const time_point lingerUntil = began + m_settings.linger;
+    while (millis_clock::now() < lingerUntil)
+        co_await m_wake.wait(lingerUntil);
     m_admission.setPhase(entry_phase::closed);
     m_server.stopAccepting();
     co_await waitUntilIdle(millis_clock::now() + m_settings.maxTimeout + store_patience);
-    co_await m_membership.leave(millis_clock::now() + store_patience);
+    // Whoever leaves by itself says that nothing of it runs; else the others remove it.
+    if (m_owner.isIdle())
+        co_await m_membership.leave(millis_clock::now() + store_patience);
     m_stopped = true;
+    m_owner.stop();
     m_follower.stop();
     m_relay.stop();
     m_membership.stop();
@@ -145,6 +167,7 @@
 void node::applyChanges()
 {
     const auto current = m_configurations.current();
+    m_membership.configure(targetsOf(*current), current->zonesOut);
     m_owner.update(*current);
     m_runner.setRoutes(std::make_shared<routing_table>(current, m_membership.view()));
     updatePhase();
@@ -192,12 +215,6 @@
     return entriesFor(m_membership.view(), m_configurations.current()->zonesOut);
 }
 
-bool node::ownsTarget(std::string_view target) const
-{
-    const member *owner = ownerOf(m_membership.view(), target);
-    return owner && owner->name == m_settings.name;
-}
-
 asio::awaitable<void> node::waitUntilIdle(time_point deadline)
 {
     while (millis_clock::now() < deadline) {
--- a/gooseberrymoor/target/target_owner.h
+++ b/gooseberrymoor/target/target_owner.h
@@ -5,7 +5,6 @@
 #include "gooseberrymoor/base/net.h"
 #include "gooseberrymoor/membership/owned_work.h"
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -15,23 +14,30 @@
 namespace gooseberrymoor {
 
 class counters;
+class target_ownership;
 class target_pool;
 struct configuration;
+struct endpoint;
+struct target_config;
+struct target_limits;
 
 // The targets that this node owns, each with its pool. Not thread-safe.
 class target_owner : public leaf_service, public owner_permission, public owned_work
 {
 public:
-    // Says whether this node owns the target "service/name" now.
-    using ownership_test = std::function<bool(std::string_view target)>;
-
-    // References must outlive the owner's last task.
-    target_owner(asio::any_io_executor executor, ownership_test isOwner, counters &events);
+    // `ownership` says which targets are this node's. No request runs longer than
+    // `longestRequest`. References must outlive the owner's last task.
+    target_owner(asio::any_io_executor executor, const target_ownership &ownership,
+                 duration longestRequest, counters &events);
     ~target_owner() override;
 
-    // Makes pools for the targets owned now under `current` and retires all others.
+    // Makes pools for the targets owned now under `current` and retires all others. Targets that
+    // are leaving or whose availability zone is out take no work until that ends.
     void update(const configuration &current);
 
+    // Retires all pools, so that their tasks end.
+    void stop();
+
     void submit(const std::string &origin, leaf_request request,
                 std::shared_ptr<leaf_reply_sink> sink) override;
     void cancel(const std::string &origin, std::uint64_t id) override;
@@ -46,8 +52,14 @@
     bool isIdle();
 
 private:
+    std::shared_ptr<target_pool> poolFor(const std::string &service, const target_config &target,
+                                         const target_limits &limits);
+    std::shared_ptr<target_pool> takeRetired(const std::string &key, const endpoint &address);
+    void forgetIdle();
+
     asio::any_io_executor m_executor;
-    ownership_test m_isOwner;
+    const target_ownership &m_ownership;
+    duration m_longestRequest;
     counters &m_events;
     std::map<std::string, std::shared_ptr<target_pool>> m_pools;
     std::vector<std::shared_ptr<target_pool>> m_retired; // until they are idle
