Test silent connections in virtual time

Cause: the test gave a request 100 ms of real time; on a busy machine it could pass before the send. Ruled out: a longer time (slower, and still real). Change: the test moves the clock itself, once the target has the request. Its checks are the same.

--- a/gooseberrymoor/target/target_pool_test.cpp
+++ b/gooseberrymoor/target/target_pool_test.cpp
@@ -425,11 +425,15 @@
 
 TEST_CASE("A connection goes silent under a request")
 {
+    manual_time clock;
     pool_with_target site({ 2, 6, 2, duration(0) });
+    const duration timeout(100);
+    const auto lost = site.submit(1, timeout);
+    REQUIRE(site.until([&] { return site.target.received == 1; }));
 
     SUBCASE("and the target confirms that the request stopped")
     {
-        const auto lost = site.submit(1, duration(100));
+        clock.advance(timeout);
         REQUIRE(site.until([&] { return lost->count == 1; }));
         CHECK(lost->answer.outcome == verdict::may_have_run);
         CHECK(lost->answer.error == error_kind::timed_out);
@@ -449,7 +453,7 @@
     SUBCASE("and the target confirms nothing, so the request keeps its slot")
     {
         site.target.confirmsCancels = false;
-        const auto lost = site.submit(1, duration(100));
+        clock.advance(timeout);
         REQUIRE(site.until([&] { return lost->count == 1; }));
         CHECK(site.pool->admission().lingering() == 1);
         CHECK(site.pool->mayStillRun(millis_clock::now()));
@@ -461,6 +465,7 @@
 
         SUBCASE("until its deadline at the target has surely passed")
         {
+            clock.advance(duration(1000));
             REQUIRE(site.until([&] { return site.target.received == 3; }));
             CHECK(site.pool->admission().lingering() == 0);
         }
