Prove cold starts, drains, racing operators and a bad version with real processes

Cause: these promises were proved in virtual time only. Ruled out: reading the nodes' own counters (the targets' account is what counts). Change: four stories on targets that fall over when a cold one is given more than one request. The check of slots counts what a target was given at one time, queued requests included; before, it counted what ran, which the target bounds by itself, so that it could not fail. Evidence on versions now has the target's name. An owner that takes over waits one second more, for requests that were still on their way to a target when their sender died. The hold time was short by the transit time that admission counts with.

--- a/gooseberrymoor/admission/target_admission.cpp
+++ b/gooseberrymoor/admission/target_admission.cpp
@@ -1,5 +1,7 @@
 #include "gooseberrymoor/admission/target_admission.h"
 
+#include "gooseberrymoor/base/transit.h"
+
 #include "gooseberrymoor/admission/target_status.h"
 
 #include <algorithm>
@@ -9,7 +11,6 @@
 namespace {
 
 constexpr int queue_per_slot = 8; // waiting requests for each slot before new ones are refused
-constexpr duration transit_bound { 1000 }; // by which a target's deadline may lie after its owner's
 constexpr duration longest_silence { 30'000 }; // without an answer, before it counts as cold
 constexpr duration load_gap { 1000 }; // between answers; longer gaps are no time under load
 constexpr int rounds_per_raise = 2; // answers for each request of the allowance before it rises
@@ -299,7 +300,7 @@
 
 void target_admission::linger(const running_request &ended)
 {
-    m_lingering.push_back({ ended.request, ended.deadline + transit_bound });
+    m_lingering.push_back({ ended.request, ended.deadline + longest_transit });
 }
 
 void target_admission::onAnswer(const running_request &ended, time_point now)
--- a/gooseberrymoor/node/node.cpp
+++ b/gooseberrymoor/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrymoor/base/event_log.h"
 #include "gooseberrymoor/base/task.h"
+#include "gooseberrymoor/base/transit.h"
 #include "gooseberrymoor/entry/entry_directory.h"
 #include "gooseberrymoor/query/routing_table.h"
 
@@ -29,7 +30,7 @@
 
 ownership_timing ownershipTiming(const node_settings &settings)
 {
-    return { settings.heartbeat, settings.lease, settings.maxTimeout };
+    return { settings.heartbeat, settings.lease, settings.maxTimeout + longest_transit };
 }
 
 std::uint64_t randomNumber()
--- a/gooseberrymoor/query/query_run.cpp
+++ b/gooseberrymoor/query/query_run.cpp
@@ -219,7 +219,7 @@
     const leaf_candidate &target
         = (*shard.candidates)[m_policies.selector.choose(*shard.candidates, eligible, now)];
     leaf_call call = makeCall(shard, target, now);
-    m_attempts.push_back({ index, target.key, target.version, now, true });
+    m_attempts.push_back({ index, target.key, target.target, target.version, now, true });
     shard.asked.push_back(target.target);
     shard.outstanding.push_back(call.attempt);
     m_policies.selector.onSent(target.key);
@@ -417,7 +417,7 @@
         m_policies.hedging.onEnded(m_request.service, latency);
     if (m_policies.observer) {
         m_policies.observer->onLeafEnded(
-            { m_request.service, ended.version, m_request.route, error, latency });
+            { m_request.service, ended.version, m_request.route, error, latency, ended.target });
     }
 }
 
--- a/gooseberrymoor/query/query_run.h
+++ b/gooseberrymoor/query/query_run.h
@@ -78,6 +78,7 @@
     {
         std::size_t shard = 0;
         std::string key;
+        std::string target;
         std::string version;
         time_point sentAt;
         bool open = true;
--- a/gooseberrymoor/query/query_run_test.cpp
+++ b/gooseberrymoor/query/query_run_test.cpp
@@ -209,6 +209,7 @@
         REQUIRE(observer.seen.size() == 1);
         CHECK(observer.seen[0].service == "standings");
         CHECK(observer.seen[0].version == "v1");
+        CHECK(observer.seen[0].target.starts_with("g1-"));
         CHECK(observer.seen[0].route == "laps/live");
         CHECK(observer.seen[0].error == error_kind::none);
         CHECK(observer.seen[0].latency == duration(7));
--- a/testing/process/caller_history.cpp
+++ b/testing/process/caller_history.cpp
@@ -106,7 +106,7 @@
 std::map<std::string, int> runsByBody(const site &where)
 {
     std::map<std::string, int> runs;
-    for (const std::string &target : site::targets()) {
+    for (const std::string &target : where.targets()) {
         const auto account = where.callJson(target, "/account");
         if (account.empty())
             continue;
@@ -119,13 +119,28 @@
 std::vector<std::string> checkSlots(const site &where, int slots)
 {
     std::vector<std::string> faults;
-    for (const std::string &target : site::targets()) {
+    for (const std::string &target : where.targets()) {
         const auto account = where.callJson(target, "/account");
         if (account.empty())
             continue;
-        const auto most = account.at("most_running").as_int64();
+        const auto most = account.at("most_at_once").as_int64();
         if (most > slots)
-            faults.push_back(target + " ran " + std::to_string(most) + " at one time");
+            faults.push_back(target + " was given " + std::to_string(most) + " at one time");
+    }
+    return faults;
+}
+
+std::vector<std::string> checkColdStarts(const site &where)
+{
+    std::vector<std::string> faults;
+    for (const std::string &target : where.targets()) {
+        const auto account = where.callJson(target, "/account");
+        if (account.empty())
+            continue;
+        const auto violations = account.at("cold_violations").as_int64();
+        if (violations > 0)
+            faults.push_back(target + " was overloaded while cold " + std::to_string(violations)
+                             + " times");
     }
     return faults;
 }
--- a/testing/process/caller_history.h
+++ b/testing/process/caller_history.h
@@ -40,5 +40,8 @@
 // How often each request that is not idempotent ran, summed over the targets of `where`.
 std::map<std::string, int> runsByBody(const site &where);
 
-// Which targets of `where` ran more requests at one time than `slots`.
+// Which targets of `where` were given more than `slots` requests at one time, queued ones counted.
 std::vector<std::string> checkSlots(const site &where, int slots);
+
+// Which targets of `where` were given more than they bear while they were cold.
+std::vector<std::string> checkColdStarts(const site &where);
--- a/testing/process/failure_test.cpp
+++ b/testing/process/failure_test.cpp
@@ -44,7 +44,7 @@
 bool everyTargetServes(const site &where)
 {
     std::map<std::string, std::int64_t> before;
-    for (const std::string &target : site::targets())
+    for (const std::string &target : where.targets())
         before[target] = served(where, target);
     return eventually([&] {
         return std::ranges::all_of(
--- a/testing/process/site.cpp
+++ b/testing/process/site.cpp
@@ -23,6 +23,7 @@
 constexpr int target_port_offset = 60;
 constexpr int relay_port_offset = 90;
 constexpr duration call_timeout { 5000 };
+const std::vector<std::string> first_targets { "g1-a", "g1-b", "g1-c", "g2-a", "g2-b", "g2-c" };
 const std::vector<std::string> zone_letters { "a", "b", "c" };
 
 std::string newFolder()
@@ -56,12 +57,6 @@
     std::filesystem::remove_all(m_folder);
 }
 
-const std::vector<std::string> &site::targets()
-{
-    static const std::vector<std::string> names { "g1-a", "g1-b", "g1-c", "g2-a", "g2-b", "g2-c" };
-    return names;
-}
-
 service_config site::service() const
 {
     service_config result;
@@ -122,21 +117,28 @@
     return relayed == m_relayAddresses.end() ? addressOf(name) : relayed->second;
 }
 
-void site::startBackEnds(int targetLatencyMs)
+void site::startBackEnds(int targetLatencyMs, const std::string &moreSettings)
 {
     start("store", { program("store_stand_in"), "--listen=" + toString(addressOf("store")) });
-    for (const std::string &name : targets())
-        startTarget(name, targetLatencyMs);
+    for (const std::string &name : first_targets)
+        startTarget(name, targetLatencyMs, moreSettings);
     eventually([this] { return call("store", "/v3/kv/range", R"({"key":"AA=="})").has_value(); });
     putService(service());
 }
 
-void site::startTarget(const std::string &name, int latencyMs)
+void site::startTarget(const std::string &name, int latencyMs, const std::string &moreSettings)
 {
-    std::ofstream(fileOf(name + ".ini"))
-        << "[target]\nlisten=" << toString(addressOf(name))
-        << "\nsnapshots=s1,s2\nslots=4\nlatency_ms=" << latencyMs << "\n";
-    start(name, { program("target_stand_in"), "--settings=" + fileOf(name + ".ini") });
+    const std::string settings = "[target]\nlisten=" + toString(addressOf(name))
+        + "\nsnapshots=s1,s2\nslots=4\nlatency_ms=" + std::to_string(latencyMs) + "\n"
+        + moreSettings;
+    m_targets.push_back(name);
+    start(name, { program("target_stand_in"), "--settings=" + writeFile(name + ".ini", settings) });
+}
+
+std::string site::writeFile(const std::string &name, const std::string &text) const
+{
+    std::ofstream(fileOf(name)) << text;
+    return fileOf(name);
 }
 
 void site::startNode(const std::string &name, const std::string &moreSettings)
@@ -187,10 +189,15 @@
 }
 
 int site::runCommand(std::vector<std::string> arguments)
+{
+    return startCommand(std::move(arguments)).wait();
+}
+
+child_process site::startCommand(std::vector<std::string> arguments) const
 {
     arguments.insert(arguments.begin(), program("gooseberrymoor"));
     arguments.push_back("--store=" + toString(addressOf("store")));
-    return child_process(std::move(arguments), fileOf("command.log")).wait();
+    return { std::move(arguments), fileOf("command.log") };
 }
 
 void site::kill(const std::string &name)
--- a/testing/process/site.h
+++ b/testing/process/site.h
@@ -33,7 +33,14 @@
     gooseberrymoor::service_config service() const;
 
     // Starts the store and the six targets (with snapshots s1 and s2), and puts the service.
-    void startBackEnds(int targetLatencyMs = 5);
+    // `moreSettings` are further lines of each target's settings file.
+    void startBackEnds(int targetLatencyMs = 5, const std::string &moreSettings = "");
+
+    // Starts one more target; its settings file is as for `startBackEnds`.
+    void startTarget(const std::string &name, int latencyMs, const std::string &moreSettings);
+
+    // Writes `text` to a file of the site and returns its path.
+    std::string writeFile(const std::string &name, const std::string &text) const;
 
     // Starts node `name`; `moreSettings` are further sections of its settings file.
     void startNode(const std::string &name, const std::string &moreSettings = "");
@@ -54,6 +61,9 @@
     // Runs the operators' command with `arguments` and the store's address; returns its exit code.
     int runCommand(std::vector<std::string> arguments);
 
+    // Starts the operators' command, to run beside others.
+    child_process startCommand(std::vector<std::string> arguments) const;
+
     // The running program called "store", "n1", "g1-a" and so on.
     child_process &process(const std::string &name) { return m_processes.at(name); }
 
@@ -77,17 +87,17 @@
     // What the program called `name` has logged.
     std::string logOf(const std::string &name) const;
 
-    // Names of all targets.
-    static const std::vector<std::string> &targets();
+    // Names of the targets that were started.
+    const std::vector<std::string> &targets() const { return m_targets; }
 
 private:
     gooseberrymoor::endpoint reachedAt(const std::string &name) const;
     std::string fileOf(const std::string &name) const { return m_folder + "/" + name; }
     void start(const std::string &name, std::vector<std::string> arguments);
-    void startTarget(const std::string &name, int latencyMs);
 
     int m_firstPort;
     std::string m_folder;
+    std::vector<std::string> m_targets;
     std::map<std::string, child_process> m_processes;
     std::map<std::string, std::vector<std::string>> m_arguments; // of each program started
     std::map<std::string, std::unique_ptr<tcp_relay>> m_relays;
