Ask one interface for the right to send, and show moves in the dump

Cause: owner_permission and target_ownership said the same, and target_owner passed the one on to the other; operators could not see planned moves in a node's dump. Ruled out: keeping both for the layering (target depends on membership anyway). Change: target_pool asks target_ownership; owner_permission is gone. The dump has the moves that the node drives, with share and cause.

--- a/gooseberrymoor/node/node.cpp
+++ b/gooseberrymoor/node/node.cpp
@@ -102,7 +102,7 @@
                { m_selector, m_hedging, m_extraBudget, m_snapshots, m_random, &m_evidence }),
       m_admission(m_settings.maxQueries),
       m_report({ m_settings, m_events, m_configurations, m_intake, m_spread, m_membership,
-                 m_network, m_owner, m_runner, m_gateway, m_admission }),
+                 m_network, m_owner, m_runner, m_gateway, m_admission, m_rollout }),
       m_handler(
           m_runner, m_admission, [this] { return directoryEntries(); }, m_settings.directoryTtl,
           timeout_limits { m_settings.defaultTimeout, m_settings.maxTimeout }, m_report, m_events),
--- a/gooseberrymoor/node/state_report.cpp
+++ b/gooseberrymoor/node/state_report.cpp
@@ -9,6 +9,8 @@
 #include "gooseberrymoor/peer/peer_network.h"
 #include "gooseberrymoor/query/leaf_gateway.h"
 #include "gooseberrymoor/query/query_runner.h"
+#include "gooseberrymoor/rollout/move_codec.h"
+#include "gooseberrymoor/rollout/rollout_driver.h"
 #include "gooseberrymoor/settings/node_settings.h"
 #include "gooseberrymoor/target/target_owner.h"
 #include "gooseberrymoor/target/target_pool.h"
@@ -78,6 +80,14 @@
     return limits;
 }
 
+json::object movesOf(const rollout_driver &rollout)
+{
+    json::object moves;
+    for (const auto &[id, record] : rollout.moves())
+        moves[id] = json::parse(encodeMove(record));
+    return moves;
+}
+
 json::object latencyOf(const latency_histogram &histogram)
 {
     json::object latency { { "count", histogram.count() } };
@@ -122,6 +132,7 @@
         { "links", links },
         { "targets", targetsOf(m_parts.owner, millis_clock::now()) },
         { "shards_a_second", limitsOf(m_parts.admission) },
+        { "moves", movesOf(m_parts.rollout) },
         { "running_queries", m_parts.runner.running() },
         { "outstanding_leaf_requests", m_parts.gateway.outstanding() },
         { "counters", counts },
--- a/gooseberrymoor/node/state_report.h
+++ b/gooseberrymoor/node/state_report.h
@@ -14,6 +14,7 @@
 class membership_keeper;
 class peer_network;
 class query_runner;
+class rollout_driver;
 class target_owner;
 struct node_settings;
 
@@ -31,6 +32,7 @@
     const query_runner &runner;
     const leaf_gateway &gateway;
     const entry_admission &admission;
+    const rollout_driver &rollout;
     const entry_handler *handler = nullptr; // null until the entry is up
 };
 
--- a/gooseberrymoor/rollout/rollout_driver.cpp
+++ b/gooseberrymoor/rollout/rollout_driver.cpp
@@ -161,12 +161,13 @@
 // A final state that was never seen to change is history, not news.
 void rollout_driver::noteChange(const move_record &record)
 {
-    const auto [found, first] = m_seen.try_emplace(record.plan.id, record.state);
+    const auto [found, first] = m_seen.try_emplace(record.plan.id, record);
+    const move_state before = found->second.state;
+    found->second = record;
     if (first && (isFinal(record.state) || record.state == move_state::planned))
         return;
-    if (!first && found->second == record.state)
+    if (!first && before == record.state)
         return;
-    found->second = record.state;
     m_events.add("move_state_changes");
     m_log.write("move_state",
                 { { "move", record.plan.id },
--- a/gooseberrymoor/rollout/rollout_driver.h
+++ b/gooseberrymoor/rollout/rollout_driver.h
@@ -59,6 +59,9 @@
     // Ends `run` at its next wait.
     void stop();
 
+    // The moves that this node drives or has driven, as last read, by their ids.
+    const std::map<std::string, move_record> &moves() const { return m_seen; }
+
 private:
     std::vector<std::string> drivenServices() const;
     bool drives(const std::string &service) const;
@@ -79,7 +82,7 @@
     counters &m_events;
     signal m_wake;
     std::mt19937_64 m_random;
-    std::map<std::string, move_state> m_seen; // states that were logged, by move
+    std::map<std::string, move_record> m_seen; // as last read, by move
     bool m_hasOpenMoves = false; // among those read last
     bool m_stopped = false;
 };
--- a/gooseberrymoor/target/target_owner.cpp
+++ b/gooseberrymoor/target/target_owner.cpp
@@ -81,7 +81,8 @@
     // What a retired pool has sent still counts when the target comes back.
     const auto pool = isKept ? found->second : takeRetired(key, target.address);
     if (!pool)
-        return std::make_shared<target_pool>(m_executor, service, target, limits, *this, m_events);
+        return std::make_shared<target_pool>(m_executor, service, target, limits, m_ownership,
+                                             m_events);
     pool->configure(target, limits);
     return pool;
 }
@@ -131,11 +132,6 @@
         pool->cancel(origin, id);
 }
 
-bool target_owner::mayStart(std::string_view target, time_point now) const
-{
-    return m_ownership.mayStart(target, now);
-}
-
 bool target_owner::mayStillRun(std::string_view target) const
 {
     const time_point now = millis_clock::now();
--- a/gooseberrymoor/target/target_owner.h
+++ b/gooseberrymoor/target/target_owner.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gooseberrymoor/admission/leaf_service.h"
-#include "gooseberrymoor/admission/owner_permission.h"
+#include "gooseberrymoor/base/millis_clock.h"
 #include "gooseberrymoor/base/net.h"
 #include "gooseberrymoor/membership/owned_work.h"
 
@@ -22,7 +22,7 @@
 struct target_limits;
 
 // The targets that this node owns, each with its pool. Not thread-safe.
-class target_owner : public leaf_service, public owner_permission, public owned_work
+class target_owner : public leaf_service, public owned_work
 {
 public:
     // `ownership` says which targets are this node's. No request runs longer than
@@ -41,7 +41,6 @@
     void submit(const std::string &origin, leaf_request request,
                 std::shared_ptr<leaf_reply_sink> sink) override;
     void cancel(const std::string &origin, std::uint64_t id) override;
-    bool mayStart(std::string_view target, time_point now) const override;
 
     bool mayStillRun(std::string_view target) const override;
 
--- a/gooseberrymoor/target/target_pool.cpp
+++ b/gooseberrymoor/target/target_pool.cpp
@@ -1,10 +1,10 @@
 #include "gooseberrymoor/target/target_pool.h"
 
 #include "gooseberrymoor/admission/leaf_reply_sink.h"
-#include "gooseberrymoor/admission/owner_permission.h"
 #include "gooseberrymoor/base/counters.h"
 #include "gooseberrymoor/base/task.h"
 #include "gooseberrymoor/http/http_connection.h"
+#include "gooseberrymoor/membership/target_ownership.h"
 #include "gooseberrymoor/target/idle_connection.h"
 #include "gooseberrymoor/target/target_codec.h"
 
@@ -35,9 +35,9 @@
 } // namespace
 
 target_pool::target_pool(asio::any_io_executor executor, std::string service, target_config target,
-                         target_limits limits, const owner_permission &permission, counters &events)
+                         target_limits limits, const target_ownership &ownership, counters &events)
     : m_executor(executor), m_key(service + "/" + target.name), m_target(std::move(target)),
-      m_permission(permission), m_events(events),
+      m_ownership(ownership), m_events(events),
       m_admission(limits, millis_clock::now(), static_cast<std::uint32_t>(randomNumber())),
       m_budget(limits.connections), m_control(executor, m_target.address, *this, m_budget, events),
       m_timerWake(executor), m_poolId(std::to_string(randomNumber())),
@@ -337,7 +337,7 @@
     const auto found = m_works.find(which);
     const leaf_request request = found->second.request;
     const time_point deadline = found->second.deadline;
-    if (!m_permission.mayStart(m_key, now)) {
+    if (!m_ownership.mayStart(m_key, now)) {
         m_admission.finish(which, leaf_result::unsent, now);
         finishError(which, error_kind::not_owner, verdict::not_run);
         co_return;
--- a/gooseberrymoor/target/target_pool.h
+++ b/gooseberrymoor/target/target_pool.h
@@ -24,7 +24,7 @@
 class counters;
 class http_connection;
 class leaf_reply_sink;
-class owner_permission;
+class target_ownership;
 struct idle_connection;
 
 // The owner's connections to one target and the requests that wait for it. One task for each
@@ -35,7 +35,7 @@
 public:
     // References must outlive the pool's last task.
     target_pool(asio::any_io_executor executor, std::string service, target_config target,
-                target_limits limits, const owner_permission &permission, counters &events);
+                target_limits limits, const target_ownership &ownership, counters &events);
     ~target_pool() override;
 
     // Takes work from now on. After `close` the target counts as cold.
@@ -114,7 +114,7 @@
     asio::any_io_executor m_executor;
     std::string m_key; // "service/target"
     target_config m_target;
-    const owner_permission &m_permission;
+    const target_ownership &m_ownership;
     counters &m_events;
     target_admission m_admission;
     connection_budget m_budget;
--- a/gooseberrymoor/target/target_pool_benchmark.cpp
+++ b/gooseberrymoor/target/target_pool_benchmark.cpp
@@ -1,7 +1,7 @@
 #include "gooseberrymoor/target/target_pool.h"
 
-#include "gooseberrymoor/admission/owner_permission.h"
 #include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/membership/target_ownership.h"
 
 #include <benchmark/benchmark.h>
 #include <boost/asio/io_context.hpp>
@@ -16,9 +16,10 @@
 
 constexpr std::uint16_t unused_port = 21199;
 
-class always : public owner_permission
+class always : public target_ownership
 {
 public:
+    bool isOwner(std::string_view) const override { return true; }
     bool mayStart(std::string_view, time_point) const override { return true; }
 };
 
