--- a/gooseberrymoor/membership/ownership_simulation.h
+++ b/gooseberrymoor/membership/ownership_simulation.h
@@ -41,6 +41,15 @@
             start(i);
     }
 
+    // What waits for a frozen process refers to the process.
+    ~ownership_simulation()
+    {
+        for (const auto &each : m_processes)
+            each->queued.clear();
+    }
+    ownership_simulation(const ownership_simulation &) = delete;
+    ownership_simulation &operator=(const ownership_simulation &) = delete;
+
     static ownership_timing timing() { return { heartbeat, lease, longest_request }; }
     static std::string targetName(int index) { return "standings/g" + std::to_string(index); }
 
--- a/testing/process/operation_test.cpp
+++ b/testing/process/operation_test.cpp
@@ -117,8 +117,8 @@
     where.startBackEnds();
     where.startNodes(2);
     constexpr int rounds = 10;
-    constexpr int exit_accepted = 0;
-    constexpr int exit_conflict = 3;
+    constexpr int exitAccepted = 0;
+    constexpr int exitConflict = 3;
     int accepted = 0;
     for (int round = 0; round < rounds; ++round) {
         const std::string share = "--share=" + std::to_string(500 + round);
@@ -128,8 +128,8 @@
         racing.push_back(where.startCommand({ "zone", "in", "kl-a" }));
         for (child_process &command : racing) {
             const int code = command.wait();
-            accepted += code == exit_accepted ? 1 : 0;
-            CHECK((code == exit_accepted || code == exit_conflict));
+            accepted += code == exitAccepted ? 1 : 0;
+            CHECK((code == exitAccepted || code == exitConflict));
         }
     }
     CHECK(accepted >= rounds);
@@ -158,8 +158,8 @@
     REQUIRE(where.runCommand({ "sheet", "apply", sheet }) == 0);
     REQUIRE(where.runCommand({ "sheet", "apply", sheet }) == 0);
 
-    constexpr int exit_rolled_back = 1;
-    CHECK(where.runCommand({ "moves", "follow" }) == exit_rolled_back);
+    constexpr int exitRolledBack = 1;
+    CHECK(where.runCommand({ "moves", "follow" }) == exitRolledBack);
     pauseFor(duration(2000));
     const std::int64_t afterRollback = served(where, "g1-d") + served(where, "g2-d");
     CHECK(moreRequests(load, 1000));
