Read the calendar in one place

Cause: node and sheet_command each had the same function for the present calendar time. Ruled out: a clock class (moves take their time from the caller; only the two programs read it). Change: wallNow stands in rollout/wall_time.h. Figures: rollout_test, operators_test and node_test pass. Conclusion: no change in behaviour.

--- a/gooseberrymoor/node/node.cpp
+++ b/gooseberrymoor/node/node.cpp
@@ -68,11 +68,6 @@
     return rollout;
 }
 
-wall_time wallNow()
-{
-    return std::chrono::time_point_cast<wall_time::duration>(std::chrono::system_clock::now());
-}
-
 } // namespace
 
 node::node(asio::any_io_executor executor, node_settings settings, event_log &log)
--- a/gooseberrymoor/operators/sheet_command.cpp
+++ b/gooseberrymoor/operators/sheet_command.cpp
@@ -3,20 +3,10 @@
 #include "gooseberrymoor/operators/sheet_commands.h"
 #include "gooseberrymoor/operators/store_session.h"
 
-#include <chrono>
 #include <iostream>
 
 namespace gooseberrymoor {
 
-namespace {
-
-wall_time wallNow()
-{
-    return std::chrono::time_point_cast<wall_time::duration>(std::chrono::system_clock::now());
-}
-
-} // namespace
-
 asio::awaitable<exit_code> sheet_command::run(command_arguments arguments)
 {
     const auto text = arguments.fileText("FILE");
--- a/gooseberrymoor/rollout/wall_time.cpp
+++ b/gooseberrymoor/rollout/wall_time.cpp
@@ -71,6 +71,11 @@
 
 } // namespace
 
+wall_time wallNow()
+{
+    return std::chrono::time_point_cast<wall_time::duration>(std::chrono::system_clock::now());
+}
+
 std::optional<wall_time> parseWallTime(std::string_view text)
 {
     text_cursor cursor(text);
--- a/gooseberrymoor/rollout/wall_time.h
+++ b/gooseberrymoor/rollout/wall_time.h
@@ -15,6 +15,9 @@
 // Where the present calendar time comes from; tests bring their own.
 using wall_source = std::function<wall_time()>;
 
+// The present calendar time of this VM.
+wall_time wallNow();
+
 // Reads ISO 8601 with a date, a time and "Z" or an offset, such as 2026-12-04T07:30:00+08:00;
 // seconds and milliseconds may be left out. Nothing if it is no such time.
 std::optional<wall_time> parseWallTime(std::string_view text);
