--- a/gooseberrymoor/query/recent_latency.cpp
+++ b/gooseberrymoor/base/recent_latency.cpp
@@ -1,4 +1,4 @@
-#include "gooseberrymoor/query/recent_latency.h"
+#include "gooseberrymoor/base/recent_latency.h"
 
 #include <algorithm>
 #include <cmath>
--- a/gooseberrymoor/base/request_error.h
+++ b/gooseberrymoor/base/request_error.h
@@ -12,6 +12,7 @@
     none,
     bad_request,
     too_large,
+    header_too_large,
     unknown_service,
     unknown_shard,
     deadline_passed,
@@ -31,11 +32,12 @@
     not_ready,
 };
 
-constexpr name_table<error_kind, 20> names(error_kind)
+constexpr name_table<error_kind, 21> names(error_kind)
 {
     return { { { error_kind::none, "none" },
                { error_kind::bad_request, "bad_request" },
                { error_kind::too_large, "too_large" },
+               { error_kind::header_too_large, "header_too_large" },
                { error_kind::unknown_service, "unknown_service" },
                { error_kind::unknown_shard, "unknown_shard" },
                { error_kind::deadline_passed, "deadline_passed" },
--- a/gooseberrymoor/entry/adaptive_rate.h
+++ b/gooseberrymoor/entry/adaptive_rate.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gooseberrymoor/base/millis_clock.h"
-#include "gooseberrymoor/query/recent_latency.h"
+#include "gooseberrymoor/base/recent_latency.h"
 
 #include <cstddef>
 
--- /dev/null
+++ b/gooseberrymoor/fleet/fleet_view.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "gooseberrymoor/fleet/fleet_member.h"
+#include "gooseberrymoor/mirror/mirror_listener.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace gooseberrymoor {
+
+class event_log;
+
+// The live nodes of the fleet, read from the keys that they keep in the store by their leases.
+// This node is always one of them. Pure state. Not thread-safe.
+class fleet_view : public mirror_listener
+{
+public:
+    // `log` must outlive the view.
+    fleet_view(fleet_member own, event_log &log);
+
+    void onValue(const std::string &key, const std::string &value, std::int64_t revision) override;
+    void onRemoved(const std::string &key) override;
+
+    // This node leaves: it is named to callers no more.
+    void setLeaving() { m_own.leaving = true; }
+
+    const fleet_member &own() const { return m_own; }
+
+    // All live nodes by name, this one included.
+    std::vector<std::string> names() const;
+
+    // Live nodes, this one included; at least one.
+    std::size_t size() const { return m_others.size() + 1; }
+
+    // Where callers of `zone` may connect, at most `most` of them: nodes of their own zone if
+    // several take callers there, else all that do.
+    std::vector<endpoint> callerAddresses(const std::string &zone, std::size_t most) const;
+
+    // Counts changes of what the view holds.
+    std::uint64_t generation() const { return m_generation; }
+
+private:
+    fleet_member m_own;
+    event_log &m_log;
+    std::map<std::string, fleet_member> m_others; // by key
+    std::uint64_t m_generation = 1;
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/forward/leaf_inbox_queue.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "gooseberrymoor/base/signal.h"
+#include "gooseberrymoor/forward/leaf_answer.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+
+namespace gooseberrymoor {
+
+// An ended call of a run.
+struct leaf_ended
+{
+    std::size_t shard = 0;
+    std::uint64_t attempt = 0;
+    leaf_answer answer;
+};
+
+// Where the calls of one run put their endings, and its task waits for them. Not thread-safe.
+class leaf_inbox_queue
+{
+public:
+    explicit leaf_inbox_queue(asio::any_io_executor executor) : wake(std::move(executor)) { }
+
+    // Puts one ending and wakes the run.
+    void put(leaf_ended ended)
+    {
+        endings.push_back(std::move(ended));
+        wake.notify();
+    }
+
+    std::deque<leaf_ended> endings;
+    signal wake;
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/forward/leaf_pool.cpp
@@ -0,0 +1,262 @@
+#include "gooseberrymoor/forward/leaf_pool.h"
+
+#include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/base/task.h"
+#include "gooseberrymoor/forward/caller_request.h"
+#include "gooseberrymoor/forward/leaf_inbox_queue.h"
+#include "gooseberrymoor/forward/leaf_protocol.h"
+#include "gooseberrymoor/http/http_connection.h"
+#include "gooseberrymoor/replica/replica_set.h"
+#include "gooseberrymoor/routing/routing_configuration.h"
+
+#include <algorithm>
+
+namespace gooseberrymoor {
+
+namespace {
+
+constexpr unsigned connections_without_limit = 16;
+constexpr duration longest_connect { 400 };
+constexpr duration longest_idle { 20'000 };
+constexpr duration idle_margin { 600 }; // before the target closes an idle connection
+constexpr duration own_ending_margin { 60 }; // for a target's own answer at its deadline
+
+} // namespace
+
+struct leaf_pool::open_connection
+{
+    explicit open_connection(asio::any_io_executor executor)
+        : http(executor), wake(std::move(executor))
+    {
+    }
+
+    http_connection http;
+    signal wake;
+    std::shared_ptr<leaf_call> current;
+    std::shared_ptr<leaf_call> next; // handed over while idle
+    time_point closeAt {}; // while idle
+    bool closing = false;
+};
+
+struct leaf_pool::target_connections
+{
+    std::shared_ptr<known_replica> target;
+    std::set<std::shared_ptr<open_connection>> open;
+    std::vector<std::shared_ptr<open_connection>> idle; // used last at the back
+    std::deque<std::shared_ptr<leaf_call>> waiting;
+};
+
+leaf_pool::leaf_pool(asio::any_io_executor executor, const leaf_protocol &protocol,
+                     counters &events)
+    : m_executor(std::move(executor)), m_protocol(protocol), m_events(events)
+{
+}
+
+leaf_pool::~leaf_pool() = default;
+
+void leaf_pool::configure(const routing_configuration &configuration, std::size_t nodes)
+{
+    m_limits.clear();
+    for (const auto &[name, profile] : configuration.services) {
+        if (profile.connectionLimit > 0)
+            m_limits[name] = std::max(1U, profile.connectionLimit / static_cast<unsigned>(nodes));
+    }
+}
+
+void leaf_pool::send(std::shared_ptr<leaf_call> call)
+{
+    call->ticket = call->target->health.onSent(millis_clock::now());
+    const shared_target connections = connectionsTo(call->target);
+    if (!connections->idle.empty()) {
+        const auto chosen = connections->idle.back();
+        connections->idle.pop_back();
+        chosen->next = std::move(call);
+        chosen->wake.notify();
+        return;
+    }
+    if (connections->open.size() < limitOf(*call->target)) {
+        startConnection(connections, std::move(call));
+        return;
+    }
+    m_events.add("leaf_calls_queued");
+    connections->waiting.push_back(std::move(call));
+}
+
+void leaf_pool::abandon(leaf_call &call)
+{
+    call.abandoned = true;
+    const auto found = m_targets.find(call.target.get());
+    if (found == m_targets.end())
+        return;
+    for (const auto &each : found->second->open) {
+        if (each->current.get() == &call)
+            each->http.close();
+    }
+}
+
+void leaf_pool::openAhead(const replica_set &replicas)
+{
+    for (const auto &[id, target] : replicas.all()) {
+        if (!replicas.mayReceive(*target))
+            continue;
+        const shared_target connections = connectionsTo(target);
+        if (connections->open.empty() && !target->health.isSuspect(millis_clock::now()))
+            startConnection(connections, nullptr);
+    }
+}
+
+void leaf_pool::closeIdle()
+{
+    for (auto &[key, connections] : m_targets) {
+        for (const auto &each : connections->idle) {
+            each->closing = true;
+            each->wake.notify();
+        }
+        connections->idle.clear();
+    }
+}
+
+std::size_t leaf_pool::openConnections() const
+{
+    std::size_t open = 0;
+    for (const auto &[key, connections] : m_targets)
+        open += connections->open.size();
+    return open;
+}
+
+leaf_pool::shared_target leaf_pool::connectionsTo(const std::shared_ptr<known_replica> &target)
+{
+    shared_target &connections = m_targets[target.get()];
+    if (!connections) {
+        connections = std::make_shared<target_connections>();
+        connections->target = target;
+    }
+    return connections;
+}
+
+unsigned leaf_pool::limitOf(const known_replica &target) const
+{
+    const auto found = m_limits.find(target.entry.service);
+    return found == m_limits.end() ? connections_without_limit : found->second;
+}
+
+void leaf_pool::startConnection(const shared_target &target, std::shared_ptr<leaf_call> first)
+{
+    startTask(m_executor, m_events, "leaf_connection", runConnection(target, std::move(first)));
+}
+
+asio::awaitable<void> leaf_pool::runConnection(shared_target target,
+                                               std::shared_ptr<leaf_call> call)
+{
+    const auto self = std::make_shared<open_connection>(m_executor);
+    target->open.insert(self);
+    bool usable = true;
+    if (!call)
+        usable = co_await connect(self, *target->target, millis_clock::now() + longest_connect);
+    while (usable) {
+        if (!call)
+            call = co_await nextCall(target, self);
+        if (!call)
+            break;
+        usable = co_await serve(self, call);
+        call.reset();
+    }
+    self->http.close();
+    target->open.erase(self);
+    std::erase(target->idle, self);
+    if (!target->waiting.empty()) {
+        auto waiting = std::move(target->waiting.front());
+        target->waiting.pop_front();
+        startConnection(target, std::move(waiting));
+    } else if (target->open.empty() && target->target->removed) {
+        m_targets.erase(target->target.get());
+    }
+}
+
+// The next call for an open connection; null once it is to be closed.
+asio::awaitable<std::shared_ptr<leaf_call>>
+leaf_pool::nextCall(shared_target target, std::shared_ptr<open_connection> self)
+{
+    if (!target->waiting.empty()) {
+        auto waiting = std::move(target->waiting.front());
+        target->waiting.pop_front();
+        co_return waiting;
+    }
+    target->idle.push_back(self);
+    while (!self->next && !self->closing && millis_clock::now() < self->closeAt)
+        co_await self->wake.wait(self->closeAt);
+    std::erase(target->idle, self);
+    co_return std::move(self->next);
+}
+
+// Returns whether the connection can carry another call.
+asio::awaitable<bool> leaf_pool::serve(std::shared_ptr<open_connection> self,
+                                       std::shared_ptr<leaf_call> call)
+{
+    leaf_answer answer;
+    if (call->abandoned || millis_clock::now() >= call->deadline) {
+        answer.ending = call->abandoned ? replica_ending::abandoned : replica_ending::unreachable;
+        end(*call, std::move(answer));
+        co_return self->http.isOpen();
+    }
+    self->current = call;
+    if (!self->http.isUsable()) {
+        self->http.close();
+        const time_point limit = std::min(call->deadline, millis_clock::now() + longest_connect);
+        const bool connected = co_await connect(self, *call->target, limit);
+        if (!connected || call->abandoned) {
+            self->current.reset();
+            answer.ending
+                = call->abandoned ? replica_ending::abandoned : replica_ending::unreachable;
+            end(*call, std::move(answer));
+            co_return false;
+        }
+    }
+    const duration left = call->deadline - millis_clock::now();
+    http_request message = m_protocol.encode(*call->request, call->target->entry, left);
+    auto reply
+        = co_await self->http.exchange(std::move(message), call->deadline + own_ending_margin);
+    self->current.reset();
+    if (reply) {
+        const int idleSeconds = reply->idleSeconds;
+        const bool keep = !reply->closeAfter && !reply->surplusBytes;
+        answer = m_protocol.decode(std::move(*reply), call->request->attemptId);
+        if (answer.isForeign) {
+            m_events.add("leaf_foreign_replies");
+            self->http.close();
+        }
+        const duration idle
+            = idleSeconds > 0 ? duration(idleSeconds * 1000) - idle_margin : longest_idle;
+        self->closeAt = millis_clock::now() + std::min(idle, longest_idle);
+        end(*call, std::move(answer));
+        co_return keep && self->http.isOpen();
+    }
+    if (call->abandoned)
+        answer.ending = replica_ending::abandoned;
+    else if (reply.error().timedOut)
+        answer.ending = replica_ending::timed_out;
+    else if (reply.error().outcome == verdict::not_run)
+        answer.ending = replica_ending::unreachable;
+    end(*call, std::move(answer));
+    co_return false;
+}
+
+asio::awaitable<bool> leaf_pool::connect(std::shared_ptr<open_connection> self,
+                                         known_replica &target, time_point deadline)
+{
+    m_events.add("leaf_connections_opened");
+    const auto connected = co_await self->http.connect(target.entry.address, deadline);
+    self->closeAt = millis_clock::now() + longest_idle;
+    if (!connected)
+        m_events.add("leaf_connects_failed");
+    co_return connected.has_value();
+}
+
+void leaf_pool::end(leaf_call &call, leaf_answer answer)
+{
+    call.target->health.onEnded(call.ticket, answer.ending, answer.load, millis_clock::now());
+    m_events.add("leaf_calls_" + std::string(nameOf(answer.ending)));
+    call.inbox->put({ call.shard, call.attempt, std::move(answer) });
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/forward/leaf_pool.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "gooseberrymoor/base/net.h"
+#include "gooseberrymoor/base/signal.h"
+#include "gooseberrymoor/forward/leaf_answer.h"
+#include "gooseberrymoor/forward/leaf_call.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace gooseberrymoor {
+
+class counters;
+class http_connection;
+class leaf_protocol;
+class replica_set;
+struct routing_configuration;
+
+// The connections of one node to the targets, one task for each. A target's limit of connections
+// is shared equally by the live nodes. Not thread-safe. What is passed by reference must outlive
+// the executor's last task.
+class leaf_pool
+{
+public:
+    leaf_pool(asio::any_io_executor executor, const leaf_protocol &protocol, counters &events);
+    ~leaf_pool();
+
+    // The newest configuration, and how many nodes share each target's connections.
+    void configure(const routing_configuration &configuration, std::size_t nodes);
+
+    // Sends `call`, at once if a connection is free or may be opened, else when one becomes free.
+    void send(std::shared_ptr<leaf_call> call);
+
+    // Nobody waits for `call` any more: ends it, and with it the target's work.
+    void abandon(leaf_call &call);
+
+    // Opens a connection to each target of `replicas` that has none, so that requests find one.
+    void openAhead(const replica_set &replicas);
+
+    // Closes what is idle; calls under way go on.
+    void closeIdle();
+
+    // Connections open now.
+    std::size_t openConnections() const;
+
+private:
+    struct target_connections;
+    struct open_connection;
+
+    using shared_target = std::shared_ptr<target_connections>;
+
+    shared_target connectionsTo(const std::shared_ptr<known_replica> &target);
+    unsigned limitOf(const known_replica &target) const;
+    void startConnection(const shared_target &target, std::shared_ptr<leaf_call> first);
+    asio::awaitable<void> runConnection(shared_target target, std::shared_ptr<leaf_call> call);
+    asio::awaitable<std::shared_ptr<leaf_call>> nextCall(shared_target target,
+                                                         std::shared_ptr<open_connection> self);
+    asio::awaitable<bool> serve(std::shared_ptr<open_connection> self,
+                                std::shared_ptr<leaf_call> call);
+    asio::awaitable<bool> connect(std::shared_ptr<open_connection> self, known_replica &target,
+                                  time_point deadline);
+    void end(leaf_call &call, leaf_answer answer);
+
+    asio::any_io_executor m_executor;
+    const leaf_protocol &m_protocol;
+    counters &m_events;
+    std::map<std::string, unsigned> m_limits; // connections of this node to a target, by service
+    std::map<known_replica *, shared_target> m_targets;
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/forward/leaf_protocol.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "gooseberrymoor/base/millis_clock.h"
+#include "gooseberrymoor/forward/leaf_answer.h"
+#include "gooseberrymoor/http/http_message.h"
+
+#include <string>
+
+namespace gooseberrymoor {
+
+struct caller_request;
+struct replica;
+
+// How requests to targets and their answers are written. Stateless; thread-safe.
+class leaf_protocol
+{
+public:
+    virtual ~leaf_protocol() = default;
+
+    // `request` as it is sent to `target`, which may work on it for `timeLeft`.
+    virtual http_request encode(const caller_request &request, const replica &target,
+                                duration timeLeft) const = 0;
+
+    // Reads the reply to the request with the id `attemptId`.
+    virtual leaf_answer decode(http_reply reply, const std::string &attemptId) const = 0;
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/forward/run_send.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "gooseberrymoor/base/name_table.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+
+namespace gooseberrymoor {
+
+struct known_replica;
+
+// Why a request goes to a target.
+enum class send_reason {
+    first,
+    retry,
+    hedge,
+};
+
+constexpr name_table<send_reason, 3> names(send_reason)
+{
+    return { { { send_reason::first, "first" },
+               { send_reason::retry, "retry" },
+               { send_reason::hedge, "hedge" } } };
+}
+
+// One request that a `request_run` wants sent. Value type.
+struct run_send
+{
+    std::size_t shard = 0;
+    std::uint64_t attempt = 0; // unique within the run
+    std::shared_ptr<known_replica> target;
+    send_reason reason = send_reason::first;
+};
+
+} // namespace gooseberrymoor
--- a/gooseberrymoor/http/http_connection.cpp
+++ b/gooseberrymoor/http/http_connection.cpp
@@ -1,14 +1,17 @@
 #include "gooseberrymoor/http/http_connection.h"
 
+#include "gooseberrymoor/http/http_headers.h"
 #include "gooseberrymoor/http/operation_deadline.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <charconv>
 
 namespace gooseberrymoor {
 
@@ -19,12 +22,41 @@
 
 constexpr std::uint64_t most_reply_bytes = 64ULL * 1024 * 1024;
 constexpr unsigned http_version_1_1 = 11;
+constexpr int unacknowledged_limit = 3000; // ms until a peer that acknowledges nothing is lost
+using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 http_failure failureOf(verdict outcome, bool timedOut, const boost::system::error_code &error)
 {
     return { outcome, timedOut, timedOut ? "timed out" : error.message() };
 }
 
+// The seconds of a field such as "timeout=5, max=100"; 0 if it names none.
+int idleSecondsOf(std::string_view keepAlive)
+{
+    constexpr std::string_view key = "timeout=";
+    const std::size_t at = keepAlive.find(key);
+    if (at == std::string_view::npos)
+        return 0;
+    int seconds = 0;
+    const char *begin = keepAlive.data() + at + key.size();
+    std::from_chars(begin, keepAlive.data() + keepAlive.size(), seconds);
+    return seconds;
+}
+
+http_reply toReply(beast::http::response<beast::http::string_body> message)
+{
+    http_reply reply(message.result_int(), std::move(message.body()),
+                     std::string(message[beast::http::field::content_type]));
+    for (const auto &each : message) {
+        if (each.name() != beast::http::field::content_type
+            && !concernsConnection(each.name_string()))
+            reply.headers.emplace_back(std::string(each.name_string()), std::string(each.value()));
+    }
+    reply.closeAfter = !message.keep_alive();
+    reply.idleSeconds = idleSecondsOf(message[beast::http::field::keep_alive]);
+    return reply;
+}
+
 } // namespace
 
 struct http_connection::implementation
@@ -59,6 +91,7 @@
     }
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(user_timeout(unacknowledged_limit), ignored);
     co_return tl::expected<void, http_failure>();
 }
 
@@ -73,8 +106,12 @@
     message.method_string(request.method);
     message.target(request.path);
     message.version(http_version_1_1);
-    message.set(beast::http::field::host, m_implementation->host);
-    message.set(beast::http::field::content_type, "application/json");
+    message.set(beast::http::field::host,
+                request.host.empty() ? m_implementation->host : request.host);
+    if (request.headers.empty())
+        message.set(beast::http::field::content_type, "application/json");
+    for (const auto &[name, value] : request.headers)
+        message.insert(name, value);
     message.body() = std::move(request.body);
     message.prepare_payload();
 
@@ -94,11 +131,12 @@
         close();
         co_return tl::unexpected(failureOf(verdict::may_have_run, limit.hasPassed(), readError));
     }
-    auto answer = parser.release();
-    if (!answer.keep_alive())
+    const bool framed = parser.content_length() || parser.chunked();
+    http_reply reply = toReply(parser.release());
+    reply.surplusBytes = m_implementation->buffer.size() > 0;
+    if (reply.closeAfter || reply.surplusBytes || !framed)
         close();
-    co_return http_reply(answer.result_int(), std::move(answer.body()),
-                         std::string(answer[beast::http::field::content_type]));
+    co_return reply;
 }
 
 bool http_connection::isOpen() const
--- /dev/null
+++ b/gooseberrymoor/http/http_limits.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "gooseberrymoor/base/millis_clock.h"
+
+#include <cstddef>
+
+namespace gooseberrymoor {
+
+// What a client may send to an `http_server`, and how long it may take. Value type.
+struct http_limits
+{
+    std::size_t headerBytes = 16 * 1024;
+    std::size_t bodyBytes = 256 * 1024;
+    duration headerTimeout { 0 }; // from the first byte of a request to its end; 0: no limit
+    duration idleTimeout { 0 }; // between requests; 0: no limit
+};
+
+} // namespace gooseberrymoor
--- a/gooseberrymoor/http/http_server.cpp
+++ b/gooseberrymoor/http/http_server.cpp
@@ -6,12 +6,16 @@
 #include "gooseberrymoor/base/timer.h"
 #include "gooseberrymoor/http/http_body_source.h"
 #include "gooseberrymoor/http/http_handler.h"
+#include "gooseberrymoor/http/http_headers.h"
+#include "gooseberrymoor/http/operation_deadline.h"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <array>
+
 namespace gooseberrymoor {
 
 namespace {
@@ -22,17 +26,59 @@
 using namespace asio::experimental::awaitable_operators;
 
 constexpr duration accept_pause { 20 }; // after a failed accept, such as too many open files
+constexpr duration no_limit { 24 * 3'600'000 };
+constexpr duration longest_write { 20'000 }; // of one reply to a client that does not read
+constexpr duration longest_linger { 500 };
+constexpr unsigned http_version_1_1 = 11;
 
 http::response<http::string_body> toMessage(http_reply reply, unsigned version, bool keepAlive)
 {
     http::response<http::string_body> message(static_cast<http::status>(reply.status), version);
-    message.set(http::field::content_type, reply.contentType);
+    if (!reply.contentType.empty())
+        message.set(http::field::content_type, reply.contentType);
+    for (auto &[name, value] : reply.headers)
+        message.insert(name, value);
     message.keep_alive(keepAlive && !reply.closeAfter);
     message.body() = std::move(reply.body);
     message.prepare_payload();
     return message;
 }
 
+// The fields that `message` carries for its receiver, without host and framing.
+http_headers headersOf(const http::request<http::string_body> &message)
+{
+    http_headers headers;
+    for (const auto &each : message) {
+        if (each.name() != http::field::host && !concernsConnection(each.name_string()))
+            headers.emplace_back(std::string(each.name_string()), std::string(each.value()));
+    }
+    return headers;
+}
+
+http_request toRequest(http::request<http::string_body> message)
+{
+    http_request request(std::string(message.method_string()), std::string(message.target()),
+                         std::move(message.body()));
+    request.host = std::string(message[http::field::host]);
+    request.headers = headersOf(message);
+    return request;
+}
+
+// Ends the sending side and reads what the client still sends, so that the last reply is not lost
+// to a reset for unread bytes.
+asio::awaitable<void> lingerBeforeClose(tcp::socket &socket)
+{
+    boost::system::error_code error;
+    socket.shutdown(tcp::socket::shutdown_send, error);
+    operation_deadline limit(socket, millis_clock::now() + longest_linger);
+    std::array<char, 1024> discarded {};
+    while (!error) {
+        const auto [readError, size]
+            = co_await socket.async_read_some(asio::buffer(discarded), as_result);
+        error = readError;
+    }
+}
+
 bool isEndOfConnection(const boost::system::error_code &error)
 {
     return error == http::error::end_of_stream || error == asio::error::connection_reset
@@ -40,6 +86,38 @@
         || error == asio::error::bad_descriptor;
 }
 
+// Ends the reads of a socket at a time and leaves it open for an answer. Leaving its scope disarms
+// it; the socket must outlive it.
+class read_timeout
+{
+public:
+    read_timeout(tcp::socket &socket, time_point when)
+        : m_timer(socket.get_executor(), when), m_state(std::make_shared<state>())
+    {
+        m_timer.async_wait([&socket, shared = m_state](const boost::system::error_code &error) {
+            if (error || shared->disarmed)
+                return;
+            shared->passed = true;
+            boost::system::error_code ignored;
+            socket.cancel(ignored);
+        });
+    }
+    ~read_timeout() { m_state->disarmed = true; }
+    read_timeout(const read_timeout &) = delete;
+    read_timeout &operator=(const read_timeout &) = delete;
+
+    bool hasPassed() const { return m_state->passed; }
+
+private:
+    struct state
+    {
+        bool disarmed = false;
+        bool passed = false;
+    };
+    timer m_timer;
+    std::shared_ptr<state> m_state;
+};
+
 // Watches the socket of a client that waits for its answer. A socket that becomes readable with
 // nothing to read was closed by the client. Leaving its scope ends the watch; the socket must
 // outlive it.
@@ -75,6 +153,13 @@
 
 } // namespace
 
+struct http_server::incoming
+{
+    http::request<http::string_body> message;
+    error_kind fault = error_kind::none; // what the client is told is wrong
+    bool ended = false; // there is no request and nobody to answer
+};
+
 struct http_server::idle_connection
 {
     tcp::socket &socket;
@@ -87,9 +172,9 @@
 
 http_server::http_server(asio::any_io_executor executor, http_handler &handler, counters &events,
                          std::size_t maxBodyBytes)
-    : m_executor(std::move(executor)), m_handler(handler), m_events(events),
-      m_maxBodyBytes(maxBodyBytes), m_acceptor(m_executor)
+    : m_executor(std::move(executor)), m_handler(handler), m_events(events), m_acceptor(m_executor)
 {
+    m_limits.bodyBytes = maxBodyBytes;
 }
 
 http_server::~http_server() = default;
@@ -163,36 +248,72 @@
     m_handler.closeConnection();
 }
 
+asio::awaitable<http_server::incoming> http_server::readRequest(tcp::socket &socket,
+                                                                beast::flat_buffer &buffer)
+{
+    incoming result;
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(m_limits.bodyBytes);
+    parser.header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
+    const idle_connection idle { socket, buffer, parser };
+    m_idle.insert(&idle);
+    if (buffer.size() == 0) {
+        const auto patience = m_limits.idleTimeout > duration(0) ? m_limits.idleTimeout : no_limit;
+        operation_deadline limit(socket, millis_clock::now() + patience);
+        const auto [idleError] = co_await socket.async_wait(tcp::socket::wait_read, as_result);
+        result.ended = idleError || limit.hasPassed();
+    }
+    boost::system::error_code error;
+    bool late = false;
+    if (!result.ended) {
+        const auto patience
+            = m_limits.headerTimeout > duration(0) ? m_limits.headerTimeout : no_limit;
+        read_timeout limit(socket, millis_clock::now() + patience);
+        const auto [readError, size] = co_await http::async_read(socket, buffer, parser, as_result);
+        error = readError;
+        late = limit.hasPassed();
+    }
+    m_idle.erase(&idle);
+    if (late)
+        result.fault = error_kind::timed_out;
+    else if (error == http::error::body_limit)
+        result.fault = error_kind::too_large;
+    else if (error == http::error::header_limit)
+        result.fault = error_kind::header_too_large;
+    else if (isEndOfConnection(error))
+        result.ended = true;
+    else if (error)
+        result.fault = error_kind::bad_request;
+    if (!error)
+        result.message = parser.release();
+    co_return result;
+}
+
 asio::awaitable<void> http_server::serveRequests(tcp::socket &socket)
 {
     beast::flat_buffer buffer;
     bool keepAlive = true;
+    bool first = true;
     while (keepAlive) {
-        http::request_parser<http::string_body> parser;
-        parser.body_limit(m_maxBodyBytes);
-        const idle_connection idle { socket, buffer, parser };
-        m_idle.insert(&idle);
-        const auto [readError, read] = co_await http::async_read(socket, buffer, parser, as_result);
-        m_idle.erase(&idle);
-        if (isEndOfConnection(readError))
+        incoming read = co_await readRequest(socket, buffer);
+        if (read.ended)
             co_return;
         http_reply reply;
-        unsigned version = 11;
-        if (readError) {
-            const bool tooLarge = readError == http::error::body_limit;
-            m_events.add(tooLarge ? "http_too_large" : "http_malformed");
-            reply = m_handler.refuse(tooLarge ? error_kind::too_large : error_kind::bad_request);
+        unsigned version = http_version_1_1;
+        if (read.fault != error_kind::none) {
+            m_events.add("http_refused_" + std::string(nameOf(read.fault)));
+            reply = m_handler.refuse(read.fault);
             keepAlive = false;
         } else {
-            auto message = parser.release();
-            version = message.version();
-            keepAlive = message.keep_alive();
-            http_request request(std::string(message.method_string()),
-                                 std::string(message.target()), std::move(message.body()));
+            version = read.message.version();
+            keepAlive = read.message.keep_alive();
+            http_request request = toRequest(std::move(read.message));
+            request.firstOnConnection = first;
             request.abandoned = std::make_shared<cancellation>();
             const close_watch watch(socket, request.abandoned);
             reply = co_await m_handler.handle(std::move(request));
         }
+        first = false;
         keepAlive = keepAlive && !m_draining && !reply.closeAfter;
         if (reply.pieces) {
             if (!co_await sendPieces(socket, std::move(reply), version, keepAlive))
@@ -200,10 +321,12 @@
             continue;
         }
         const auto message = toMessage(std::move(reply), version, keepAlive);
+        operation_deadline limit(socket, millis_clock::now() + longest_write);
         const auto [writeError, written] = co_await http::async_write(socket, message, as_result);
         if (writeError)
             co_return;
     }
+    co_await lingerBeforeClose(socket);
 }
 
 // Returns whether the whole body was sent.
--- a/gooseberrymoor/http/http_server.h
+++ b/gooseberrymoor/http/http_server.h
@@ -2,8 +2,10 @@
 
 #include "gooseberrymoor/base/endpoint.h"
 #include "gooseberrymoor/base/net.h"
+#include "gooseberrymoor/http/http_limits.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 #include <tl/expected.hpp>
 
 #include <cstddef>
@@ -29,6 +31,9 @@
     // Binds `address` and starts to accept; the error is for people.
     tl::expected<void, std::string> start(endpoint address);
 
+    // What clients may send from their next request on.
+    void setLimits(http_limits limits) { m_limits = limits; }
+
     // From now on each connection closes after its next reply, and says so in it.
     void startDraining();
 
@@ -40,17 +45,20 @@
 
 private:
     struct idle_connection; // waits for its next request
+    struct incoming; // a request that was read, or how reading it failed
 
     asio::awaitable<void> acceptLoop();
     asio::awaitable<void> serve(asio::ip::tcp::socket socket);
     asio::awaitable<void> serveRequests(asio::ip::tcp::socket &socket);
+    asio::awaitable<incoming> readRequest(asio::ip::tcp::socket &socket,
+                                          boost::beast::flat_buffer &buffer);
     asio::awaitable<bool> sendPieces(boost::asio::ip::tcp::socket &socket, http_reply reply,
                                      unsigned version, bool keepAlive);
 
     asio::any_io_executor m_executor;
     http_handler &m_handler;
     counters &m_events;
-    std::size_t m_maxBodyBytes;
+    http_limits m_limits;
     asio::ip::tcp::acceptor m_acceptor;
     std::size_t m_open = 0;
     std::set<const idle_connection *> m_idle;
--- a/gooseberrymoor/http/refusal.cpp
+++ b/gooseberrymoor/http/refusal.cpp
@@ -16,6 +16,8 @@
         return 404;
     case error_kind::too_large:
         return 413;
+    case error_kind::header_too_large:
+        return 431;
     case error_kind::deadline_passed:
     case error_kind::timed_out:
         return 504;
--- a/gooseberrymoor/node/log4cplus_event_log.cpp
+++ b/gooseberrymoor/logging/log4cplus_event_log.cpp
@@ -1,11 +1,14 @@
-#include "gooseberrymoor/node/log4cplus_event_log.h"
+#include "gooseberrymoor/logging/log4cplus_event_log.h"
+
+#include "gooseberrymoor/logging/pipe_appender.h"
 
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <unistd.h>
+
 namespace gooseberrymoor {
 
 namespace {
@@ -41,10 +44,7 @@
 log4cplus_event_log::log4cplus_event_log(const std::string &nodeName)
     : m_implementation(std::make_unique<implementation>())
 {
-    constexpr bool toStandardError = true;
-    constexpr bool flushEachLine = true;
-    log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(toStandardError, flushEachLine));
+    log4cplus::SharedAppenderPtr appender(new pipe_appender(STDOUT_FILENO));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(line_pattern));
     m_implementation->logger = log4cplus::Logger::getInstance(nodeName);
     m_implementation->logger.setLogLevel(log4cplus::INFO_LOG_LEVEL);
--- a/gooseberrymoor/node/daemon/main.cpp
+++ b/gooseberrymoor/node/daemon/main.cpp
@@ -1,5 +1,5 @@
 #include "gooseberrymoor/base/task.h"
-#include "gooseberrymoor/node/log4cplus_event_log.h"
+#include "gooseberrymoor/logging/log4cplus_event_log.h"
 #include "gooseberrymoor/node/node.h"
 
 #include <boost/asio/io_context.hpp>
--- a/gooseberrymoor/query/quantile_hedge_policy.h
+++ b/gooseberrymoor/query/quantile_hedge_policy.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "gooseberrymoor/base/recent_latency.h"
 #include "gooseberrymoor/query/hedge_policy.h"
-#include "gooseberrymoor/query/recent_latency.h"
 
 #include <unordered_map>
 
--- /dev/null
+++ b/gooseberrymoor/replica/cold_allowance.cpp
@@ -0,0 +1,77 @@
+#include "gooseberrymoor/replica/cold_allowance.h"
+
+#include "gooseberrymoor/replica/replica_set.h"
+#include "gooseberrymoor/routing/routing_configuration.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace gooseberrymoor {
+
+namespace {
+
+constexpr duration window { 1100 }; // the bound's second and the spread of arrivals
+constexpr double views_at_once = 2; // nodes that may believe to be drawn at one time
+
+std::uint64_t rankOf(const std::string &node, const std::string &target)
+{
+    const std::string key = node + "/" + target;
+    return XXH64(key.data(), key.size(), 0);
+}
+
+} // namespace
+
+cold_allowance::cold_allowance(std::string ownName, cold_tolerance tolerance)
+    : m_ownName(std::move(ownName)), m_tolerance(tolerance)
+{
+}
+
+void cold_allowance::configure(const routing_configuration &configuration)
+{
+    m_ratePerSecond.clear();
+    for (const auto &[name, profile] : configuration.services) {
+        if (profile.coldRequestsPerSecond > 0)
+            m_ratePerSecond[name] = profile.coldRequestsPerSecond;
+    }
+}
+
+bool cold_allowance::mayReceive(const known_replica &target, time_point now) const
+{
+    const auto rate = m_ratePerSecond.find(target.entry.service);
+    if (rate == m_ratePerSecond.end() || now >= target.coldUntil)
+        return true;
+    if (!isDrawn(target.entry.id))
+        return false;
+    const double bound = rate->second * m_tolerance.factor + m_tolerance.slack;
+    const double allowed = std::min(rate->second, bound / views_at_once);
+    const auto sent = m_sent.find(target.entry.id);
+    if (sent == m_sent.end())
+        return allowed >= 1;
+    const auto recent = std::count_if(sent->second.begin(), sent->second.end(),
+                                      [now](time_point each) { return now - each < window; });
+    return static_cast<double>(recent) + 1 <= allowed;
+}
+
+void cold_allowance::onSent(const known_replica &target, time_point now)
+{
+    if (now >= target.coldUntil) {
+        m_sent.erase(target.entry.id);
+        return;
+    }
+    if (!m_ratePerSecond.contains(target.entry.service))
+        return;
+    auto &sent = m_sent[target.entry.id];
+    sent.push_back(now);
+    while (now - sent.front() >= window)
+        sent.pop_front();
+}
+
+bool cold_allowance::isDrawn(const std::string &id) const
+{
+    const std::uint64_t own = rankOf(m_ownName, id);
+    return std::none_of(m_nodes.begin(), m_nodes.end(),
+                        [&](const std::string &each) { return rankOf(each, id) > own; });
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/replica/expected_wait_selector.cpp
@@ -0,0 +1,87 @@
+#include "gooseberrymoor/replica/expected_wait_selector.h"
+
+#include "gooseberrymoor/replica/cold_allowance.h"
+#include "gooseberrymoor/replica/replica_set.h"
+
+#include <algorithm>
+#include <limits>
+#include <vector>
+
+namespace gooseberrymoor {
+
+namespace {
+
+constexpr double unknown_latency_ms = 20;
+constexpr double other_zone_factor = 1.5; // an equal target elsewhere must be this much faster
+constexpr double overdue_factor = 3; // times the typical latency
+constexpr double overdue_slack_ms = 8;
+constexpr double overdue_penalty_ms = 400; // longer than a pause of a target
+constexpr double suspect_penalty_ms = 1500;
+
+double toMs(duration value)
+{
+    return static_cast<double>(value.count());
+}
+
+} // namespace
+
+expected_wait_selector::expected_wait_selector(const replica_set &replicas, cold_allowance &cold,
+                                               std::string ownZone)
+    : m_replicas(replicas), m_cold(cold), m_ownZone(std::move(ownZone))
+{
+}
+
+std::shared_ptr<known_replica> expected_wait_selector::choose(const std::string &service,
+                                                              const std::set<std::string> &excluded,
+                                                              time_point now)
+{
+    const double typical = typicalLatencyMs(service, now);
+    std::shared_ptr<known_replica> best;
+    double bestWait = std::numeric_limits<double>::max();
+    for (const auto &each : m_replicas.of(service)) {
+        if (!m_replicas.mayReceive(*each) || excluded.contains(each->entry.id))
+            continue;
+        const double wait = expectedWaitMs(*each, typical, now);
+        if (wait < bestWait && m_cold.mayReceive(*each, now)) {
+            best = each;
+            bestWait = wait;
+        }
+    }
+    if (best)
+        m_cold.onSent(*best, now);
+    return best;
+}
+
+// The median over the service's targets.
+double expected_wait_selector::typicalLatencyMs(const std::string &service, time_point now) const
+{
+    std::vector<double> latencies;
+    for (const auto &each : m_replicas.of(service)) {
+        const double latency = each->health.latencyMs(0, now);
+        if (latency > 0)
+            latencies.push_back(latency);
+    }
+    if (latencies.empty())
+        return unknown_latency_ms;
+    const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>((latencies.size() - 1) / 2);
+    std::nth_element(latencies.begin(), middle, latencies.end());
+    return *middle;
+}
+
+double expected_wait_selector::expectedWaitMs(const known_replica &target, double typicalMs,
+                                              time_point now) const
+{
+    const replica_health &health = target.health;
+    const double slots = std::max(1U, target.entry.slots);
+    const double queued = health.outstanding() + health.reportedWaiting(now);
+    double wait = health.latencyMs(typicalMs, now) * (1 + queued / slots);
+    if (target.entry.availabilityZone != m_ownZone)
+        wait *= other_zone_factor;
+    if (toMs(health.oldestWait(now)) > overdue_factor * typicalMs + overdue_slack_ms)
+        wait += overdue_penalty_ms;
+    if (health.isSuspect(now))
+        wait += suspect_penalty_ms;
+    return wait;
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/replica/expected_wait_selector.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "gooseberrymoor/replica/replica_selector.h"
+
+#include <string>
+
+namespace gooseberrymoor {
+
+class replica_set;
+class cold_allowance;
+
+// Chooses the target with the shortest expected wait: its recent latency, times what is
+// outstanding there for each slot. One in the node's own availability zone goes before an equal
+// one elsewhere; one whose oldest request is overdue, or that failed lately, goes last.
+// Not thread-safe.
+class expected_wait_selector : public replica_selector
+{
+public:
+    // `replicas` and `cold` must outlive the selector.
+    expected_wait_selector(const replica_set &replicas, cold_allowance &cold, std::string ownZone);
+
+    std::shared_ptr<known_replica> choose(const std::string &service,
+                                          const std::set<std::string> &excluded,
+                                          time_point now) override;
+
+private:
+    double typicalLatencyMs(const std::string &service, time_point now) const;
+    double expectedWaitMs(const known_replica &target, double typicalMs, time_point now) const;
+
+    const replica_set &m_replicas;
+    cold_allowance &m_cold;
+    std::string m_ownZone;
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/replica/replica_health.cpp
@@ -0,0 +1,86 @@
+#include "gooseberrymoor/replica/replica_health.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gooseberrymoor {
+
+namespace {
+
+constexpr double newest_weight = 0.2; // of one latency in the average
+constexpr double fade_half_life_ms = 3000;
+constexpr duration load_report_age { 150 }; // until a report says nothing any more
+constexpr duration first_suspicion { 100 };
+constexpr duration longest_suspicion { 2000 };
+constexpr unsigned most_doublings = 5;
+
+} // namespace
+
+std::uint64_t replica_health::onSent(time_point now)
+{
+    m_sent[m_nextTicket] = now;
+    return m_nextTicket++;
+}
+
+void replica_health::onEnded(std::uint64_t ticket, replica_ending ending,
+                             std::optional<load_report> load, time_point now)
+{
+    const auto found = m_sent.find(ticket);
+    if (found == m_sent.end())
+        return;
+    const duration taken = now - found->second;
+    m_sent.erase(found);
+    if (load) {
+        m_load = *load;
+        m_loadSeen = now;
+    }
+    switch (ending) {
+    case replica_ending::answered:
+        recordLatency(taken, now);
+        m_failuresInARow = 0;
+        m_suspectUntil = {};
+        break;
+    case replica_ending::timed_out:
+        recordLatency(taken, now);
+        break;
+    case replica_ending::abandoned:
+        break;
+    default:
+        recordFailure(now);
+    }
+}
+
+duration replica_health::oldestWait(time_point now) const
+{
+    return m_sent.empty() ? duration(0) : now - m_sent.begin()->second;
+}
+
+double replica_health::latencyMs(double otherwise, time_point now) const
+{
+    if (m_latencyMs == 0)
+        return otherwise;
+    const double age = static_cast<double>((now - m_latencySeen).count());
+    const double weight = std::exp2(-age / fade_half_life_ms);
+    return weight * m_latencyMs + (1 - weight) * otherwise;
+}
+
+unsigned replica_health::reportedWaiting(time_point now) const
+{
+    return now - m_loadSeen <= load_report_age ? m_load.waiting : 0;
+}
+
+void replica_health::recordLatency(duration taken, time_point now)
+{
+    const double ms = std::max(1.0, static_cast<double>(taken.count()));
+    m_latencyMs = m_latencyMs == 0 ? ms : m_latencyMs + newest_weight * (ms - m_latencyMs);
+    m_latencySeen = now;
+}
+
+void replica_health::recordFailure(time_point now)
+{
+    const unsigned doublings = std::min(m_failuresInARow, most_doublings);
+    ++m_failuresInARow;
+    m_suspectUntil = now + std::min(first_suspicion * (1 << doublings), longest_suspicion);
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/replica/replica_set.cpp
@@ -0,0 +1,70 @@
+#include "gooseberrymoor/replica/replica_set.h"
+
+#include <algorithm>
+
+namespace gooseberrymoor {
+
+namespace {
+
+bool isSameStart(const replica &left, const replica &right)
+{
+    return left.incarnation == right.incarnation && left.service == right.service
+        && left.address == right.address;
+}
+
+} // namespace
+
+void replica_set::put(const replica &entry, time_point now)
+{
+    const auto known = find(entry.id);
+    if (known && isSameStart(known->entry, entry)) {
+        if (known->entry.coldRemaining != entry.coldRemaining)
+            known->coldUntil = now + entry.coldRemaining;
+        known->entry = entry;
+        return;
+    }
+    remove(entry.id);
+    auto added = std::make_shared<known_replica>();
+    added->entry = entry;
+    added->coldUntil = now + entry.coldRemaining;
+    m_byId[entry.id] = added;
+    auto &siblings = m_byService[entry.service];
+    const auto position = std::find_if(siblings.begin(), siblings.end(),
+                                       [&](const auto &each) { return each->entry.id > entry.id; });
+    siblings.insert(position, std::move(added));
+}
+
+void replica_set::remove(const std::string &id)
+{
+    const auto found = m_byId.find(id);
+    if (found == m_byId.end())
+        return;
+    const auto gone = found->second;
+    gone->removed = true;
+    m_byId.erase(found);
+    auto &siblings = m_byService[gone->entry.service];
+    std::erase(siblings, gone);
+    if (siblings.empty())
+        m_byService.erase(gone->entry.service);
+}
+
+const std::vector<std::shared_ptr<known_replica>> &replica_set::of(const std::string &service) const
+{
+    static const std::vector<std::shared_ptr<known_replica>> none;
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? none : found->second;
+}
+
+bool replica_set::mayReceive(const known_replica &target) const
+{
+    return !target.removed && !target.entry.draining
+        && !m_zonesOut.contains(target.entry.availabilityZone);
+}
+
+std::shared_ptr<known_replica> replica_set::find(const std::string &id) const
+{
+    const auto found = m_byId.find(id);
+    return found == m_byId.end() ? nullptr : found->second;
+}
+
+} // namespace gooseberrymoor
--- a/gooseberrymoor/store/key_value_store.cpp
+++ b/gooseberrymoor/store/key_value_store.cpp
@@ -35,4 +35,15 @@
     co_return tl::unexpected(notOffered());
 }
 
+asio::awaitable<tl::expected<store_changes, store_error>>
+key_value_store::readChanges(std::string, std::int64_t, duration)
+{
+    co_return tl::unexpected(notOffered());
+}
+
+asio::awaitable<tl::expected<void, store_error>> key_value_store::endLease(std::int64_t)
+{
+    co_return tl::unexpected(notOffered());
+}
+
 } // namespace gooseberrymoor
--- a/gooseberrymoor/store/key_value_store.h
+++ b/gooseberrymoor/store/key_value_store.h
@@ -2,6 +2,7 @@
 
 #include "gooseberrymoor/base/millis_clock.h"
 #include "gooseberrymoor/base/net.h"
+#include "gooseberrymoor/store/store_change.h"
 #include "gooseberrymoor/store/store_entry.h"
 #include "gooseberrymoor/store/store_error.h"
 #include "gooseberrymoor/store/store_transaction.h"
@@ -43,6 +44,14 @@
     // for `timeout`. Returns whether one has: a store that cannot tell says it has.
     virtual asio::awaitable<tl::expected<bool, store_error>>
     waitForChange(std::string prefix, std::int64_t afterRevision, duration timeout);
+
+    // Reads what changed after `afterRevision` in the keys that begin with `prefix`; with nothing
+    // changed yet, the store may hold the answer for `wait`. `history_lost` if it can't tell.
+    virtual asio::awaitable<tl::expected<store_changes, store_error>>
+    readChanges(std::string prefix, std::int64_t afterRevision, duration wait);
+
+    // Ends `lease` and removes its keys; an ended one is no error.
+    virtual asio::awaitable<tl::expected<void, store_error>> endLease(std::int64_t lease);
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/store/store_error.h
+++ b/gooseberrymoor/store/store_error.h
@@ -12,13 +12,17 @@
     unavailable,
     timed_out,
     malformed,
+    history_lost, // what changed since the revision asked for is no longer known
+    lease_ended,
 };
 
-constexpr name_table<store_failure, 3> names(store_failure)
+constexpr name_table<store_failure, 5> names(store_failure)
 {
     return { { { store_failure::unavailable, "unavailable" },
                { store_failure::timed_out, "timed_out" },
-               { store_failure::malformed, "malformed" } } };
+               { store_failure::malformed, "malformed" },
+               { store_failure::history_lost, "history_lost" },
+               { store_failure::lease_ended, "lease_ended" } } };
 }
 
 // A failed call; `outcome` says whether its effect may have taken place.
--- /dev/null
+++ b/gooseberrymoor/tier/catalog_reader.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "gooseberrymoor/replica/replica.h"
+#include "gooseberrymoor/routing/routing_configuration.h"
+
+#include <tl/expected.hpp>
+
+#include <optional>
+#include <string>
+
+namespace gooseberrymoor {
+
+// Reads what operators and targets keep in the store. Errors are for people. Stateless;
+// thread-safe.
+class catalog_reader
+{
+public:
+    virtual ~catalog_reader() = default;
+
+    // The prefix of the keys that operators write.
+    virtual std::string operatorPrefix() const = 0;
+
+    // The prefix of the keys that targets write of themselves.
+    virtual std::string replicaPrefix() const = 0;
+
+    // Whether `key` holds the configuration.
+    virtual bool isConfiguration(const std::string &key) const = 0;
+
+    // The availability zone that is out while `key` is there; nothing if it is no such key.
+    virtual std::optional<std::string> zoneOut(const std::string &key) const = 0;
+
+    virtual tl::expected<routing_configuration, std::string>
+    readConfiguration(const std::string &value) const = 0;
+
+    virtual tl::expected<replica, std::string> readReplica(const std::string &key,
+                                                           const std::string &value) const = 0;
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/tier/operator_intake.cpp
@@ -0,0 +1,61 @@
+#include "gooseberrymoor/tier/operator_intake.h"
+
+#include "gooseberrymoor/base/event_log.h"
+#include "gooseberrymoor/replica/replica_set.h"
+#include "gooseberrymoor/tier/catalog_reader.h"
+
+namespace gooseberrymoor {
+
+operator_intake::operator_intake(const catalog_reader &reader, replica_set &replicas,
+                                 event_log &log, std::function<void()> changed)
+    : m_reader(reader), m_replicas(replicas), m_log(log), m_changed(std::move(changed))
+{
+}
+
+void operator_intake::onValue(const std::string &key, const std::string &value,
+                              std::int64_t revision)
+{
+    if (m_reader.isConfiguration(key)) {
+        takeConfiguration(value, revision);
+        return;
+    }
+    if (const auto zone = m_reader.zoneOut(key)) {
+        m_zonesOut.insert(*zone);
+        m_replicas.setZonesOut(m_zonesOut);
+        m_log.write("zone_out",
+                    { { "availability_zone", *zone }, { "revision", std::to_string(revision) } });
+    }
+}
+
+void operator_intake::onRemoved(const std::string &key)
+{
+    const auto zone = m_reader.zoneOut(key);
+    if (!zone)
+        return;
+    m_zonesOut.erase(*zone);
+    m_replicas.setZonesOut(m_zonesOut);
+    m_log.write("zone_back", { { "availability_zone", *zone } });
+}
+
+void operator_intake::takeConfiguration(const std::string &value, std::int64_t revision)
+{
+    auto configuration = m_reader.readConfiguration(value);
+    if (!configuration) {
+        m_log.write(
+            "configuration_refused",
+            { { "reason", configuration.error() }, { "revision", std::to_string(revision) } });
+        return;
+    }
+    const std::int64_t version = configuration->version;
+    if (m_routes && version < m_routes->configuration().version) {
+        m_log.write("configuration_older", { { "version", std::to_string(version) } });
+        return;
+    }
+    m_routes = std::make_shared<const route_table>(std::move(*configuration));
+    m_log.write(
+        "configuration_in_force",
+        { { "version", std::to_string(version) }, { "revision", std::to_string(revision) } });
+    m_changed();
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/tier/operator_intake.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "gooseberrymoor/mirror/mirror_listener.h"
+#include "gooseberrymoor/routing/route_table.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace gooseberrymoor {
+
+class catalog_reader;
+class event_log;
+class replica_set;
+
+// Takes in what operators wrote: the newest configuration, and availability zones that are out.
+// A configuration never goes back to an older version. Not thread-safe. What is passed by
+// reference must outlive it.
+class operator_intake : public mirror_listener
+{
+public:
+    // Calls `changed` after a newer configuration came into force.
+    operator_intake(const catalog_reader &reader, replica_set &replicas, event_log &log,
+                    std::function<void()> changed);
+
+    void onValue(const std::string &key, const std::string &value, std::int64_t revision) override;
+    void onRemoved(const std::string &key) override;
+
+    // The routes in force; null before the first configuration.
+    const std::shared_ptr<const route_table> &routes() const { return m_routes; }
+
+private:
+    void takeConfiguration(const std::string &value, std::int64_t revision);
+
+    const catalog_reader &m_reader;
+    replica_set &m_replicas;
+    event_log &m_log;
+    std::function<void()> m_changed;
+    std::shared_ptr<const route_table> m_routes;
+    std::set<std::string> m_zonesOut;
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/tier/query_tier.cpp
@@ -0,0 +1,115 @@
+#include "gooseberrymoor/tier/query_tier.h"
+
+#include "gooseberrymoor/base/event_log.h"
+#include "gooseberrymoor/base/task.h"
+#include "gooseberrymoor/http/http_server.h"
+#include "gooseberrymoor/tier/catalog_reader.h"
+
+namespace gooseberrymoor {
+
+namespace {
+
+constexpr duration change_check { 100 };
+constexpr duration drain_check { 10 };
+constexpr follow_timing operator_timing { duration(50), duration(1500) };
+constexpr follow_timing replica_timing { duration(700), duration(0) };
+constexpr follow_timing fleet_timing { duration(200), duration(1500) };
+constexpr duration idle_close { 400 }; // before the end: no more callers are let in
+constexpr duration operator_return { 0 }; // operators' keys do not lapse
+
+} // namespace
+
+query_tier::query_tier(asio::any_io_executor executor, tier_settings settings,
+                       key_value_store &store, const catalog_reader &reader,
+                       const leaf_protocol &protocol, event_log &log, counters &events)
+    : m_executor(executor), m_settings(std::move(settings)), m_log(log), m_events(events),
+      m_cold(m_settings.own.name, m_settings.coldTolerance),
+      m_selector(m_replicas, m_cold, m_settings.own.availabilityZone), m_budget(m_settings.repeats),
+      m_pool(executor, protocol, events),
+      m_forwarder(executor, { m_pool, m_selector, m_budget, log, events }),
+      m_operators(reader, m_replicas, log, [this] { onConfiguration(); }),
+      m_replicaIntake(reader, m_replicas, log, events), m_fleet(m_settings.own, log),
+      m_operatorMirror(m_operators, operator_return),
+      m_replicaMirror(m_replicaIntake, m_settings.returnTime),
+      m_fleetMirror(m_fleet, m_settings.returnTime),
+      m_operatorFollower(executor, store, m_operatorMirror, reader.operatorPrefix(),
+                         operator_timing, log, events),
+      m_replicaFollower(executor, store, m_replicaMirror, reader.replicaPrefix(), replica_timing,
+                        log, events),
+      m_fleetFollower(executor, store, m_fleetMirror, m_settings.fleetPrefix, fleet_timing, log,
+                      events),
+      m_announcer(executor, store, m_settings.fleetPrefix, m_settings.own, log, events),
+      m_wake(executor)
+{
+}
+
+void query_tier::start(http_server &callers)
+{
+    m_callers = &callers;
+    onFleetChange();
+    startTask(m_executor, m_events, "operators", m_operatorFollower.run());
+    startTask(m_executor, m_events, "replicas", m_replicaFollower.run());
+    startTask(m_executor, m_events, "fleet", m_fleetFollower.run());
+    startTask(m_executor, m_events, "announcer", m_announcer.run());
+    startTask(m_executor, m_events, "changes", applyChanges());
+    m_log.write("node_started",
+                { { "callers", toString(m_settings.own.callerAddress) },
+                  { "availability_zone", m_settings.own.availabilityZone } });
+}
+
+asio::awaitable<void> query_tier::stop()
+{
+    const time_point end = millis_clock::now() + m_settings.stopTime;
+    m_log.write("node_leaving", { { "running", std::to_string(m_forwarder.running()) } });
+    m_leaving = true;
+    m_fleet.setLeaving();
+    m_announcer.setLeaving();
+    m_callers->startDraining();
+    while (millis_clock::now() < end - idle_close)
+        co_await m_wake.wait(end - idle_close);
+    m_callers->stopAccepting();
+    while (millis_clock::now() < end && m_callers->openConnections() > 0)
+        co_await m_wake.wait(millis_clock::now() + drain_check);
+    m_stopped = true;
+    m_operatorFollower.stop();
+    m_replicaFollower.stop();
+    m_fleetFollower.stop();
+    co_await m_announcer.stop();
+    m_pool.closeIdle();
+    m_wake.notify();
+    m_log.write("node_stopped", { { "running", std::to_string(m_forwarder.running()) } });
+}
+
+bool query_tier::isReady() const
+{
+    return routes() && !m_leaving;
+}
+
+asio::awaitable<void> query_tier::applyChanges()
+{
+    while (!m_stopped) {
+        if (m_fleet.generation() != m_fleetGeneration)
+            onFleetChange();
+        m_pool.openAhead(m_replicas);
+        co_await m_wake.wait(millis_clock::now() + change_check);
+    }
+}
+
+void query_tier::onConfiguration()
+{
+    const routing_configuration &configuration = routes()->configuration();
+    m_cold.configure(configuration);
+    m_pool.configure(configuration, m_fleet.size());
+    m_callers->setLimits(configuration.callerLimits);
+}
+
+void query_tier::onFleetChange()
+{
+    m_fleetGeneration = m_fleet.generation();
+    m_cold.setNodes(m_fleet.names());
+    m_budget.setNodes(m_fleet.size());
+    if (routes())
+        m_pool.configure(routes()->configuration(), m_fleet.size());
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/tier/query_tier.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/base/net.h"
+#include "gooseberrymoor/base/signal.h"
+#include "gooseberrymoor/fleet/fleet_announcer.h"
+#include "gooseberrymoor/fleet/fleet_view.h"
+#include "gooseberrymoor/forward/forwarder.h"
+#include "gooseberrymoor/forward/leaf_pool.h"
+#include "gooseberrymoor/forward/repeat_budget.h"
+#include "gooseberrymoor/mirror/mirror_follower.h"
+#include "gooseberrymoor/mirror/store_mirror.h"
+#include "gooseberrymoor/replica/cold_allowance.h"
+#include "gooseberrymoor/replica/expected_wait_selector.h"
+#include "gooseberrymoor/replica/replica_set.h"
+#include "gooseberrymoor/tier/operator_intake.h"
+#include "gooseberrymoor/tier/replica_intake.h"
+#include "gooseberrymoor/tier/tier_settings.h"
+
+#include <memory>
+#include <string>
+
+namespace gooseberrymoor {
+
+class catalog_reader;
+class event_log;
+class http_server;
+class key_value_store;
+class leaf_protocol;
+
+// One node of the query tier, without the way that callers, targets and the store are spoken to:
+// what it knows from the store, the requests that it forwards, and how it starts and stops.
+// Not thread-safe. What is passed by reference must outlive the executor's last task.
+class query_tier
+{
+public:
+    query_tier(asio::any_io_executor executor, tier_settings settings, key_value_store &store,
+               const catalog_reader &reader, const leaf_protocol &protocol, event_log &log,
+               counters &events);
+
+    // Starts the tasks. `callers` gets the limits of each configuration and is stopped with the
+    // tier; it must outlive it.
+    void start(http_server &callers);
+
+    // Leaves without cutting a request: named to callers no more, it serves those that still
+    // come until the stop time is nearly over, and finishes what runs.
+    asio::awaitable<void> stop();
+
+    // Whether it can serve: it has a configuration and does not leave.
+    bool isReady() const;
+
+    // The routes in force; null before the first configuration.
+    const std::shared_ptr<const route_table> &routes() const { return m_operators.routes(); }
+
+    // Whether the routes are the newest as far as this node can know.
+    bool isCurrent() const { return m_operatorFollower.isInTouch(); }
+
+    forwarder &requests() { return m_forwarder; }
+    const fleet_view &fleet() const { return m_fleet; }
+    const replica_set &replicas() const { return m_replicas; }
+    const tier_settings &settings() const { return m_settings; }
+
+private:
+    asio::awaitable<void> applyChanges();
+    void onConfiguration();
+    void onFleetChange();
+
+    asio::any_io_executor m_executor;
+    tier_settings m_settings;
+    event_log &m_log;
+    counters &m_events;
+    replica_set m_replicas;
+    cold_allowance m_cold;
+    expected_wait_selector m_selector;
+    repeat_budget m_budget;
+    leaf_pool m_pool;
+    forwarder m_forwarder;
+    operator_intake m_operators;
+    replica_intake m_replicaIntake;
+    fleet_view m_fleet;
+    store_mirror m_operatorMirror;
+    store_mirror m_replicaMirror;
+    store_mirror m_fleetMirror;
+    mirror_follower m_operatorFollower;
+    mirror_follower m_replicaFollower;
+    mirror_follower m_fleetFollower;
+    fleet_announcer m_announcer;
+    signal m_wake;
+    http_server *m_callers = nullptr;
+    std::uint64_t m_fleetGeneration = 0;
+    bool m_leaving = false;
+    bool m_stopped = false;
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/tier/replica_intake.cpp
@@ -0,0 +1,50 @@
+#include "gooseberrymoor/tier/replica_intake.h"
+
+#include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/base/event_log.h"
+#include "gooseberrymoor/replica/replica_set.h"
+#include "gooseberrymoor/tier/catalog_reader.h"
+
+namespace gooseberrymoor {
+
+replica_intake::replica_intake(const catalog_reader &reader, replica_set &replicas, event_log &log,
+                               counters &events)
+    : m_reader(reader), m_replicas(replicas), m_log(log), m_events(events)
+{
+}
+
+void replica_intake::onValue(const std::string &key, const std::string &value,
+                             std::int64_t revision)
+{
+    const auto entry = m_reader.readReplica(key, value);
+    if (!entry) {
+        m_events.add("replica_entries_unreadable");
+        m_log.write("target_unreadable", { { "key", key }, { "reason", entry.error() } });
+        onRemoved(key);
+        return;
+    }
+    const auto known = m_replicas.find(entry->id);
+    const bool isNews = !known || known->entry.draining != entry->draining
+        || known->entry.incarnation != entry->incarnation;
+    m_replicas.put(*entry, millis_clock::now());
+    m_ids[key] = entry->id;
+    if (isNews)
+        m_log.write("target_seen",
+                    { { "target", entry->id },
+                      { "service", entry->service },
+                      { "address", toString(entry->address) },
+                      { "draining", entry->draining ? "true" : "false" },
+                      { "revision", std::to_string(revision) } });
+}
+
+void replica_intake::onRemoved(const std::string &key)
+{
+    const auto found = m_ids.find(key);
+    if (found == m_ids.end())
+        return;
+    m_log.write("target_gone", { { "target", found->second } });
+    m_replicas.remove(found->second);
+    m_ids.erase(found);
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/tier/replica_intake.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "gooseberrymoor/mirror/mirror_listener.h"
+
+#include <map>
+#include <string>
+
+namespace gooseberrymoor {
+
+class catalog_reader;
+class counters;
+class event_log;
+class replica_set;
+
+// Takes in what targets wrote of themselves. An entry that can't be read names no target.
+// Not thread-safe. What is passed by reference must outlive it.
+class replica_intake : public mirror_listener
+{
+public:
+    replica_intake(const catalog_reader &reader, replica_set &replicas, event_log &log,
+                   counters &events);
+
+    void onValue(const std::string &key, const std::string &value, std::int64_t revision) override;
+    void onRemoved(const std::string &key) override;
+
+private:
+    const catalog_reader &m_reader;
+    replica_set &m_replicas;
+    event_log &m_log;
+    counters &m_events;
+    std::map<std::string, std::string> m_ids; // by key
+};
+
+} // namespace gooseberrymoor
--- a/tools/packages.sh
+++ b/tools/packages.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 packages="g++ cmake ninja-build ccache clang-format clang-tidy curl python3 \
 libboost1.81-dev libflatbuffers-dev flatbuffers-compiler libdocopt-dev liblog4cplus-dev \
-libexpected-dev doctest-dev librapidcheck-dev libxxhash-dev libbenchmark-dev"
+libexpected-dev doctest-dev librapidcheck-dev libxxhash-dev libbenchmark-dev libtomlplusplus-dev"
 missing=""
 for package in $packages; do
     dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'ok installed' \
