Prefer targets of the own zone, keep connections free for a restart, longer directory answers

Cause: 40% of the leaf requests crossed zones, since a factor of 1.5 is within the noise of latencies; callers of a node looked the directory up before nearly each request; targets counted connections of nodes that had lost power against those of their next start.

--- a/gooseberrymoor/forward/leaf_pool.cpp
+++ b/gooseberrymoor/forward/leaf_pool.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr unsigned connections_without_limit = 16;
+// A target may still hold the connections of nodes that lost power, beside those of their next start.
+constexpr unsigned kept_free = 2;
 constexpr duration longest_connect { 400 };
 constexpr duration longest_idle { 20'000 };
 constexpr duration idle_margin { 600 }; // before the target closes an idle connection
@@ -59,7 +61,8 @@
     m_limits.clear();
     for (const auto &[name, profile] : configuration.services) {
         if (profile.connectionLimit > 0)
-            m_limits[name] = std::max(1U, profile.connectionLimit / static_cast<unsigned>(nodes));
+            m_limits[name] = std::max(
+                1U, profile.connectionLimit / (kept_free * static_cast<unsigned>(nodes)));
     }
 }
 
--- a/gooseberrymoor/replica/expected_wait_selector.cpp
+++ b/gooseberrymoor/replica/expected_wait_selector.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr double unknown_latency_ms = 20;
-constexpr double other_zone_factor = 1.5; // an equal target elsewhere must be this much faster
+constexpr double other_zone_factor = 3; // a target elsewhere must be this much faster
 constexpr double overdue_factor = 3; // times the typical latency
 constexpr double overdue_slack_ms = 8;
 constexpr double overdue_penalty_ms = 400; // longer than a pause of a target
--- a/gooseberrymoor/tier/tier_settings.h
+++ b/gooseberrymoor/tier/tier_settings.h
@@ -20,7 +20,7 @@
         2500
     }; // until a key that lapsed in an outage of the store counts as gone
     duration stopTime { 5000 }; // from the order to stop to the end of the process
-    duration directoryTtl { 1000 }; // how long callers may keep the addresses of nodes
+    duration directoryTtl { 5000 }; // how long callers may keep the addresses of nodes
 };
 
 } // namespace gooseberrymoor
