--- a/gooseberrymoor/fleet/fleet_view.cpp
+++ b/gooseberrymoor/fleet/fleet_view.cpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrymoor/base/event_log.h"
 #include "gooseberrymoor/fleet/fleet_member_codec.h"
+#include "gooseberrymoor/fleet/peer_liveness.h"
 
 namespace gooseberrymoor {
 
@@ -11,7 +12,10 @@
 
 } // namespace
 
-fleet_view::fleet_view(fleet_member own, event_log &log) : m_own(std::move(own)), m_log(log) { }
+fleet_view::fleet_view(fleet_member own, const peer_liveness &liveness, event_log &log)
+    : m_own(std::move(own)), m_liveness(liveness), m_log(log)
+{
+}
 
 void fleet_view::onValue(const std::string &key, const std::string &value, std::int64_t revision)
 {
@@ -26,42 +30,73 @@
                 { { "member", member->name },
                   { "leaving", member->leaving ? "true" : "false" },
                   { "revision", std::to_string(revision) } });
-    m_others[key] = std::move(*member);
+    m_others[key] = { std::move(*member), false };
     ++m_generation;
 }
 
 void fleet_view::onRemoved(const std::string &key)
 {
     const auto found = m_others.find(key);
-    if (found == m_others.end())
-        return;
-    m_log.write("member_gone", { { "member", found->second.name } });
-    m_others.erase(found);
-    ++m_generation;
+    if (found != m_others.end())
+        found->second.lapsed = true;
+}
+
+void fleet_view::onTime(time_point now)
+{
+    for (auto each = m_others.begin(); each != m_others.end();) {
+        const auto &[member, lapsed] = each->second;
+        if (!lapsed || m_liveness.isHeard(member.name, now)) {
+            ++each;
+            continue;
+        }
+        m_log.write("member_gone", { { "member", member.name } });
+        each = m_others.erase(each);
+        ++m_generation;
+    }
 }
 
 std::vector<std::string> fleet_view::names() const
 {
     std::vector<std::string> names { m_own.name };
-    for (const auto &[key, member] : m_others)
-        names.push_back(member.name);
+    for (const auto &[key, known] : m_others)
+        names.push_back(known.member.name);
     return names;
 }
 
-std::vector<endpoint> fleet_view::callerAddresses(const std::string &zone, std::size_t most) const
+std::map<std::string, endpoint> fleet_view::peerAddresses() const
+{
+    std::map<std::string, endpoint> addresses;
+    for (const auto &[key, known] : m_others)
+        addresses[known.member.name] = known.member.peerAddress;
+    return addresses;
+}
+
+bool fleet_view::takesCallers(const fleet_member &member, bool hearsAnyone, time_point now) const
+{
+    if (member.leaving || m_liveness.isLeaving(member.name))
+        return false;
+    return !hearsAnyone || m_liveness.isHeard(member.name, now);
+}
+
+std::vector<endpoint> fleet_view::callerAddresses(const std::string &zone, std::size_t most,
+                                                  time_point now) const
 {
     std::vector<endpoint> all;
     std::vector<endpoint> inZone;
     const auto add = [&](const fleet_member &member) {
-        if (member.leaving || all.size() >= most)
+        if (all.size() >= most)
             return;
         all.push_back(member.callerAddress);
         if (member.availabilityZone == zone)
             inZone.push_back(member.callerAddress);
     };
-    add(m_own);
-    for (const auto &[key, member] : m_others)
-        add(member);
+    if (!m_own.leaving)
+        add(m_own);
+    const bool hearsAnyone = m_liveness.hearsAnyone(now);
+    for (const auto &[key, known] : m_others) {
+        if (takesCallers(known.member, hearsAnyone, now))
+            add(known.member);
+    }
     return inZone.size() >= enough_in_zone ? inZone : all;
 }
 
--- a/gooseberrymoor/fleet/fleet_view.h
+++ b/gooseberrymoor/fleet/fleet_view.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gooseberrymoor/base/millis_clock.h"
 #include "gooseberrymoor/fleet/fleet_member.h"
 #include "gooseberrymoor/mirror/mirror_listener.h"
 
@@ -11,14 +12,16 @@
 namespace gooseberrymoor {
 
 class event_log;
+class peer_liveness;
 
 // The live nodes of the fleet, read from the keys that they keep in the store by their leases.
-// This node is always one of them. Pure state. Not thread-safe.
+// A key may lapse while its node lives, so a node whose heartbeats arrive stays. This node is
+// always one of them. Pure state. Not thread-safe.
 class fleet_view : public mirror_listener
 {
 public:
-    // `log` must outlive the view.
-    fleet_view(fleet_member own, event_log &log);
+    // `liveness` and `log` must outlive the view.
+    fleet_view(fleet_member own, const peer_liveness &liveness, event_log &log);
 
     void onValue(const std::string &key, const std::string &value, std::int64_t revision) override;
     void onRemoved(const std::string &key) override;
@@ -34,17 +37,34 @@
     // Live nodes, this one included; at least one.
     std::size_t size() const { return m_others.size() + 1; }
 
+    // Forgets nodes whose key is gone and that are heard no more.
+    void onTime(time_point now);
+
+    // The nodes other than this one, by name.
+    std::map<std::string, endpoint> peerAddresses() const;
+
     // Where callers of `zone` may connect, at most `most` of them: nodes of their own zone if
-    // several take callers there, else all that do.
-    std::vector<endpoint> callerAddresses(const std::string &zone, std::size_t most) const;
+    // several take callers there, else all that do. Nodes that are not heard are left out, unless
+    // none is.
+    std::vector<endpoint> callerAddresses(const std::string &zone, std::size_t most,
+                                          time_point now) const;
 
     // Counts changes of what the view holds.
     std::uint64_t generation() const { return m_generation; }
 
 private:
+    struct known_member
+    {
+        fleet_member member;
+        bool lapsed = false; // its key is gone
+    };
+
+    bool takesCallers(const fleet_member &member, bool hearsAnyone, time_point now) const;
+
     fleet_member m_own;
+    const peer_liveness &m_liveness;
     event_log &m_log;
-    std::map<std::string, fleet_member> m_others; // by key
+    std::map<std::string, known_member> m_others; // by key
     std::uint64_t m_generation = 1;
 };
 
--- a/gooseberrymoor/forward/leaf_pool.cpp
+++ b/gooseberrymoor/forward/leaf_pool.cpp
@@ -16,7 +16,8 @@
 namespace {
 
 constexpr unsigned connections_without_limit = 16;
-// A target may still hold the connections of nodes that lost power, beside those of their next start.
+// A target may still hold the connections of nodes that lost power, beside those of their next
+// start.
 constexpr unsigned kept_free = 2;
 constexpr duration longest_connect { 400 };
 constexpr duration longest_idle { 20'000 };
--- /dev/null
+++ b/gooseberrymoor/forward/record_merge_test.cpp
@@ -0,0 +1,41 @@
+#include "gooseberrymoor/forward/record_merge.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+
+using namespace gooseberrymoor;
+
+TEST_CASE("Parts are merged to their greatest records")
+{
+    const std::string low(record_bytes, '\x01');
+    const std::string high(record_bytes, '\xf0');
+
+    SUBCASE("greatest first, where a byte above 0x7f is greater than one below")
+    {
+        CHECK(greatestRecords({ low, high }, 2) == high + low);
+    }
+    SUBCASE("where equal records all count")
+    {
+        CHECK(greatestRecords({ high + low, high }, 2) == high + high);
+    }
+    SUBCASE("and a remainder shorter than a record is none")
+    {
+        CHECK(greatestRecords({ low + "\xff\xff" }, 5) == low);
+    }
+    CHECK(rc::check("as if all records had been sorted", [] {
+        const auto records = *rc::gen::container<std::vector<std::string>>(
+            rc::gen::container<std::string>(record_bytes, rc::gen::arbitrary<char>()));
+        const auto most = *rc::gen::inRange<std::size_t>(0, 12);
+        std::vector<std::string> parts(3);
+        for (std::size_t i = 0; i < records.size(); ++i)
+            parts[i % 3] += records[i];
+        std::vector<std::string> sorted = records;
+        std::sort(sorted.rbegin(), sorted.rend());
+        std::string expected;
+        for (std::size_t i = 0; i < std::min(most, sorted.size()); ++i)
+            expected += sorted[i];
+        RC_ASSERT(greatestRecords(parts, most) == expected);
+    }));
+}
--- /dev/null
+++ b/gooseberrymoor/forward/request_run_test.cpp
@@ -0,0 +1,292 @@
+#include "gooseberrymoor/forward/request_run.h"
+
+#include "gooseberrymoor/forward/repeat_budget.h"
+#include "gooseberrymoor/replica/replica_selector.h"
+#include "gooseberrymoor/replica/replica_set.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <map>
+
+using namespace gooseberrymoor;
+
+namespace {
+
+const time_point start { duration(100'000) };
+
+// Chooses the first target that is not excluded, of as many as the service has.
+class scripted_selector : public replica_selector
+{
+public:
+    std::shared_ptr<known_replica>
+    choose(const std::string &service, const std::set<std::string> &excluded, time_point) override
+    {
+        for (int i = 0; i < targets[service]; ++i) {
+            const std::string id = service + "-" + std::to_string(i);
+            if (excluded.contains(id))
+                continue;
+            auto target = std::make_shared<known_replica>();
+            target->entry.id = id;
+            return target;
+        }
+        return nullptr;
+    }
+
+    std::map<std::string, int> targets;
+};
+
+run_plan shardedPlan(std::size_t shards)
+{
+    run_plan plan;
+    for (std::size_t i = 0; i < shards; ++i)
+        plan.services.push_back("s" + std::to_string(i));
+    plan.isSharded = true;
+    plan.maxAttempts = 2;
+    plan.leastShare = 0.75;
+    plan.hedgeDelay = duration(20);
+    plan.answerBy = start + duration(50);
+    plan.deadline = start + duration(400);
+    return plan;
+}
+
+run_plan singlePlan(request_kind kind)
+{
+    run_plan plan;
+    plan.services.push_back("registry");
+    plan.kind = kind;
+    plan.maxAttempts = 2;
+    plan.hedgeDelay = kind == request_kind::idempotent ? duration(200) : duration(0);
+    plan.answerBy = start + duration(600);
+    plan.deadline = start + duration(4000);
+    return plan;
+}
+
+struct fixture
+{
+    fixture()
+    {
+        for (int i = 0; i < 4; ++i)
+            selector.targets["s" + std::to_string(i)] = 3;
+        selector.targets["registry"] = 3;
+    }
+
+    scripted_selector selector;
+    repeat_budget budget { { 0.2, 50, duration(10'000) } };
+};
+
+} // namespace
+
+TEST_CASE("A request to many shards")
+{
+    fixture site;
+    request_run run(shardedPlan(4), site.selector, site.budget);
+    const auto first = run.start(start);
+    REQUIRE(first.size() == 4);
+    const auto answer = [&](std::size_t shard, time_point now) {
+        return run.onEnding(shard, first[shard].attempt, replica_ending::answered, now);
+    };
+
+    SUBCASE("is complete when every shard has answered")
+    {
+        for (std::size_t shard = 0; shard < 4; ++shard)
+            answer(shard, start + duration(10));
+        CHECK(run.isComplete(start + duration(10)));
+        CHECK(run.answered() == 4);
+    }
+    SUBCASE("with one silent shard")
+    {
+        for (std::size_t shard = 0; shard < 3; ++shard)
+            answer(shard, start + duration(10));
+        CHECK(!run.isComplete(start + duration(10)));
+        SUBCASE("asks a second target after the hedge delay, and none before")
+        {
+            CHECK(run.onTime(start + duration(19)).empty());
+            const auto hedge = run.onTime(start + duration(20));
+            REQUIRE(hedge.size() == 1);
+            CHECK(hedge.front().reason == send_reason::hedge);
+            CHECK(hedge.front().target->entry.id != first[3].target->entry.id);
+            SUBCASE("and takes whichever answers, once")
+            {
+                run.onEnding(3, hedge.front().attempt, replica_ending::answered,
+                             start + duration(30));
+                CHECK(run.isComplete(start + duration(30)));
+                answer(3, start + duration(31));
+                CHECK(run.answered() == 4);
+            }
+            SUBCASE("and asks no third one, for two attempts are allowed")
+            {
+                CHECK(run.onTime(start + duration(45)).empty());
+            }
+        }
+        SUBCASE("answers with the rest when the time has come that the answer must leave")
+        {
+            CHECK(run.isComplete(start + duration(50)));
+            CHECK(run.isSuccess());
+            CHECK(run.answered() == 3);
+        }
+        SUBCASE("answers with the rest at once when nothing is under way for it any more")
+        {
+            const auto retry
+                = run.onEnding(3, first[3].attempt, replica_ending::lost, start + duration(12));
+            REQUIRE(retry.size() == 1);
+            run.onEnding(3, retry.front().attempt, replica_ending::lost, start + duration(14));
+            CHECK(run.isComplete(start + duration(14)));
+            CHECK(run.isSuccess());
+        }
+    }
+    SUBCASE("with too many silent shards")
+    {
+        answer(0, start + duration(10));
+        answer(1, start + duration(10));
+        SUBCASE("waits beyond that time until enough are in")
+        {
+            CHECK(!run.isComplete(start + duration(60)));
+            answer(2, start + duration(70));
+            CHECK(run.isComplete(start + duration(70)));
+            CHECK(run.isSuccess());
+        }
+        SUBCASE("ends without success at the deadline")
+        {
+            CHECK(run.isComplete(start + duration(400)));
+            CHECK(!run.isSuccess());
+        }
+    }
+}
+
+TEST_CASE("A request that must not run twice")
+{
+    fixture site;
+    request_run run(singlePlan(request_kind::non_idempotent), site.selector, site.budget);
+    const auto first = run.start(start);
+    REQUIRE(first.size() == 1);
+
+    SUBCASE("goes to another target when the first has surely not run it")
+    {
+        for (const replica_ending ending : { replica_ending::refused, replica_ending::misdirected,
+                                             replica_ending::unreachable }) {
+            request_run again(singlePlan(request_kind::non_idempotent), site.selector, site.budget);
+            const auto sent = again.start(start);
+            const auto retry = again.onEnding(0, sent.front().attempt, ending, start + duration(5));
+            REQUIRE(retry.size() == 1);
+            CHECK(retry.front().target->entry.id != sent.front().target->entry.id);
+        }
+    }
+    SUBCASE("goes nowhere else once it may have run")
+    {
+        for (const replica_ending ending : { replica_ending::lost, replica_ending::timed_out,
+                                             replica_ending::failed, replica_ending::abandoned }) {
+            request_run again(singlePlan(request_kind::non_idempotent), site.selector, site.budget);
+            const auto sent = again.start(start);
+            CHECK(again.onEnding(0, sent.front().attempt, ending, start + duration(5)).empty());
+            CHECK(again.isComplete(start + duration(5)));
+            CHECK(!again.hasSurelyNotRun());
+        }
+    }
+    SUBCASE("is never hedged")
+    {
+        CHECK(run.onTime(start + duration(1000)).empty());
+        CHECK(run.nextWake(start) == start + duration(4000));
+    }
+    SUBCASE("has surely not run when every target refused it")
+    {
+        auto sends = first;
+        time_point now = start;
+        while (!run.isComplete(now)) {
+            now += duration(20);
+            if (sends.empty())
+                sends = run.onTime(now);
+            else
+                sends = run.onEnding(0, sends.front().attempt, replica_ending::refused, now);
+        }
+        CHECK(run.hasSurelyNotRun());
+        CHECK(now < start + duration(400));
+    }
+}
+
+TEST_CASE("A service without any target")
+{
+    fixture site;
+    site.selector.targets["registry"] = 0;
+    request_run run(singlePlan(request_kind::idempotent), site.selector, site.budget);
+    CHECK(run.start(start).empty());
+    SUBCASE("is refused at once, as not run")
+    {
+        CHECK(run.isComplete(start));
+        CHECK(run.hasSurelyNotRun());
+    }
+}
+
+TEST_CASE("Whatever happens to a request")
+{
+    CHECK(rc::check("no shard is run more often than allowed, and it ends by its deadline", [] {
+        fixture site;
+        const bool isSharded = *rc::gen::arbitrary<bool>();
+        const auto kind = *rc::gen::element(request_kind::idempotent, request_kind::non_idempotent);
+        run_plan plan = isSharded ? shardedPlan(4) : singlePlan(kind);
+        const time_point deadline = plan.deadline;
+        const std::size_t shards = plan.services.size();
+        request_run run(plan, site.selector, site.budget);
+        std::vector<int> mayHaveRun(shards, 0);
+        std::vector<run_send> open = run.start(start);
+        time_point now = start;
+        while (!run.isComplete(now)) {
+            now = std::max(now + duration(1), now + duration(*rc::gen::inRange(0, 30)));
+            std::vector<run_send> more;
+            if (!open.empty() && *rc::gen::arbitrary<bool>()) {
+                const auto index = *rc::gen::inRange<std::size_t>(0, open.size());
+                const run_send each = open[index];
+                open.erase(open.begin() + static_cast<std::ptrdiff_t>(index));
+                const auto ending = *rc::gen::element(
+                    replica_ending::answered, replica_ending::failed, replica_ending::refused,
+                    replica_ending::unreachable, replica_ending::lost, replica_ending::timed_out);
+                if (!hasNotRun(ending))
+                    ++mayHaveRun[each.shard];
+                more = run.onEnding(each.shard, each.attempt, ending, now);
+            } else {
+                more = run.onTime(now);
+            }
+            open.insert(open.end(), more.begin(), more.end());
+        }
+        RC_ASSERT(now <= deadline + duration(30));
+        for (const run_send &each : open)
+            ++mayHaveRun[each.shard];
+        const bool atMostOnce = !isSharded && kind == request_kind::non_idempotent;
+        for (const int runs : mayHaveRun)
+            RC_ASSERT(runs <= (atMostOnce ? 1 : 2));
+    }));
+}
+
+TEST_CASE("What a fleet sends again")
+{
+    CHECK(rc::check("keeps to its budget in any window, summed over all nodes", [] {
+        const repeat_limits limits { 0.2, 58, duration(10'000) };
+        const std::size_t nodes = *rc::gen::inRange<std::size_t>(1, 12);
+        std::vector<repeat_budget> budgets(nodes, repeat_budget(limits));
+        for (repeat_budget &each : budgets)
+            each.setNodes(nodes);
+        const int requestsPerStep = *rc::gen::inRange(0, 4);
+        std::deque<time_point> requests;
+        std::deque<time_point> repeats;
+        for (time_point now = start; now < start + duration(25'000); now += duration(50)) {
+            for (repeat_budget &each : budgets) {
+                for (int i = 0; i < requestsPerStep; ++i) {
+                    each.onRequest("s", now);
+                    requests.push_back(now);
+                }
+                for (int i = 0; i < 3 && each.mayRepeat("s", now); ++i) {
+                    each.onRepeated("s", now);
+                    repeats.push_back(now);
+                }
+            }
+            const auto forget = [now](std::deque<time_point> &times) {
+                while (!times.empty() && now - times.front() >= duration(10'000))
+                    times.pop_front();
+            };
+            forget(requests);
+            forget(repeats);
+            RC_ASSERT(static_cast<double>(repeats.size())
+                      <= 0.2 * static_cast<double>(requests.size()) + 58);
+        }
+    }));
+}
--- a/gooseberrymoor/mirror/mirror_follower.cpp
+++ b/gooseberrymoor/mirror/mirror_follower.cpp
@@ -2,6 +2,9 @@
 
 #include "gooseberrymoor/base/counters.h"
 #include "gooseberrymoor/base/event_log.h"
+#include "gooseberrymoor/mirror/mirror_relay.h"
+#include "gooseberrymoor/mirror/mirror_update.h"
+#include "gooseberrymoor/mirror/reader_duty.h"
 #include "gooseberrymoor/store/key_value_store.h"
 
 #include <algorithm>
@@ -10,35 +13,79 @@
 
 namespace {
 
+constexpr duration duty_check { 100 }; // of who reads
 constexpr duration first_pause { 100 }; // after a failed call
 constexpr duration longest_pause { 800 };
 constexpr unsigned most_doublings = 3;
 
 } // namespace
 
-mirror_follower::mirror_follower(asio::any_io_executor executor, key_value_store &store,
-                                 store_mirror &mirror, std::string prefix, follow_timing timing,
-                                 event_log &log, counters &events)
-    : m_store(store), m_mirror(mirror), m_prefix(std::move(prefix)), m_timing(timing), m_log(log),
-      m_events(events), m_wake(std::move(executor)), m_random(std::random_device()())
+mirror_follower::mirror_follower(asio::any_io_executor executor, follow_parts parts,
+                                 std::string prefix, follow_timing timing)
+    : m_parts(parts), m_prefix(std::move(prefix)), m_timing(timing), m_wake(std::move(executor)),
+      m_random(std::random_device()())
 {
+    m_parts.relay.add(m_prefix, *this);
 }
 
 asio::awaitable<void> mirror_follower::run()
 {
     while (!m_stopped) {
-        const bool succeeded = m_mustReadAll ? co_await readAll() : co_await readChanges();
-        if (m_stopped)
-            break;
-        const duration pause = succeeded ? m_timing.beat : pauseAfterFailure();
-        const time_point next = millis_clock::now() + pause;
-        while (!m_stopped && millis_clock::now() < next) {
-            co_await m_wake.wait(std::min(next, m_mirror.nextWake()));
-            m_mirror.onTime(millis_clock::now());
+        if (!mustRead(millis_clock::now())) {
+            co_await rest(duty_check);
+            continue;
         }
+        const bool succeeded = m_mustReadAll ? co_await readAll() : co_await readChanges();
+        co_await rest(succeeded ? m_timing.beat : pauseAfterFailure());
+    }
+}
+
+bool mirror_follower::mustRead(time_point now) const
+{
+    return m_mustReadAll || m_isBehind || m_parts.duty.isReader(now) || !isCurrent(now);
+}
+
+bool mirror_follower::isCurrent(time_point now) const
+{
+    return now - m_lastHeard <= m_timing.beat + m_timing.wait + m_timing.patience;
+}
+
+// Removals of the mirror come due meanwhile.
+asio::awaitable<void> mirror_follower::rest(duration time)
+{
+    const time_point until = millis_clock::now() + time;
+    while (!m_stopped && millis_clock::now() < until) {
+        co_await m_wake.wait(std::min(until, m_parts.mirror.nextWake()));
+        m_parts.mirror.onTime(millis_clock::now());
     }
 }
 
+void mirror_follower::onUpdate(const mirror_update &update)
+{
+    const time_point now = millis_clock::now();
+    store_mirror &mirror = m_parts.mirror;
+    if (mirror.revision() == 0)
+        return;
+    if (mirror.revision() < update.fromRevision) {
+        m_parts.events.add("mirror_updates_missed");
+        m_isBehind = true;
+        return;
+    }
+    if (update.wellFor < mirror.wellFor(now))
+        mirror.onOutage(now - update.wellFor);
+    mirror.onChanges(update.changes, update.toRevision, now);
+    m_lastHeard = now;
+}
+
+void mirror_follower::share(std::int64_t fromRevision, std::vector<mirror_change> changes)
+{
+    const time_point now = millis_clock::now();
+    if (!m_parts.duty.isReader(now))
+        return;
+    m_parts.relay.share({ m_prefix, fromRevision, m_parts.mirror.revision(),
+                          m_parts.mirror.wellFor(now), std::move(changes) });
+}
+
 void mirror_follower::stop()
 {
     m_stopped = true;
@@ -48,24 +95,28 @@
 asio::awaitable<bool> mirror_follower::readAll()
 {
     const time_point begun = millis_clock::now();
-    const auto read = co_await m_store.readPrefix(m_prefix);
+    const auto read = co_await m_parts.store.readPrefix(m_prefix);
     if (!read) {
         onFailure(read.error());
         co_return false;
     }
     onSuccess(begun);
-    m_mirror.onRead(*read, millis_clock::now());
+    m_parts.mirror.onRead(*read, millis_clock::now());
     m_mustReadAll = false;
+    share(read->revision, {});
     co_return true;
 }
 
 asio::awaitable<bool> mirror_follower::readChanges()
 {
     const time_point begun = millis_clock::now();
-    const auto read = co_await m_store.readChanges(m_prefix, m_mirror.revision(), m_timing.wait);
+    const std::int64_t before = m_parts.mirror.revision();
+    // One that is not the reader wants what there is now.
+    const duration wait = m_parts.duty.isReader(begun) ? m_timing.wait : duration(0);
+    const auto read = co_await m_parts.store.readChanges(m_prefix, before, wait);
     if (!read && read.error().failure == store_failure::history_lost) {
-        m_log.write("store_history_lost", { { "prefix", m_prefix } });
-        m_mirror.onOutage(millis_clock::now());
+        m_parts.log.write("store_history_lost", { { "prefix", m_prefix } });
+        m_parts.mirror.onOutage(millis_clock::now());
         m_mustReadAll = true;
         co_return co_await readAll();
     }
@@ -77,21 +128,22 @@
     std::vector<mirror_change> changes;
     for (const store_change &each : read->changes)
         changes.push_back({ each.key, each.value, each.modRevision });
-    m_mirror.onChanges(changes, read->revision, millis_clock::now());
+    share(before, m_parts.mirror.onChanges(changes, read->revision, millis_clock::now()));
     co_return true;
 }
 
 void mirror_follower::onFailure(const store_error &error)
 {
     ++m_failures;
-    m_events.add("mirror_reads_failed");
-    m_mirror.onOutage(millis_clock::now());
+    m_parts.duty.setStoreLost(true);
+    m_parts.events.add("mirror_reads_failed");
+    m_parts.mirror.onOutage(millis_clock::now());
     if (m_inTouch || m_failures == 1)
-        m_log.write("store_lost",
-                    { { "prefix", m_prefix },
-                      { "reason", std::string(nameOf(error.failure)) },
-                      { "detail", error.detail },
-                      { "revision", std::to_string(m_mirror.revision()) } });
+        m_parts.log.write("store_lost",
+                          { { "prefix", m_prefix },
+                            { "reason", std::string(nameOf(error.failure)) },
+                            { "detail", error.detail },
+                            { "revision", std::to_string(m_parts.mirror.revision()) } });
     m_inTouch = false;
 }
 
@@ -99,10 +151,12 @@
 {
     m_lastHeard = begun;
     m_failures = 0;
+    m_isBehind = false;
+    m_parts.duty.setStoreLost(false);
     if (m_inTouch)
         return;
     m_inTouch = true;
-    m_log.write("store_reached", { { "prefix", m_prefix } });
+    m_parts.log.write("store_reached", { { "prefix", m_prefix } });
 }
 
 // Between half and all of a time that doubles with each failure in a row.
--- a/gooseberrymoor/mirror/mirror_follower.h
+++ b/gooseberrymoor/mirror/mirror_follower.h
@@ -12,6 +12,9 @@
 class counters;
 class event_log;
 class key_value_store;
+class mirror_relay;
+class reader_duty;
+struct mirror_update;
 struct store_error;
 
 // How a `mirror_follower` calls the store. Value type.
@@ -19,16 +22,29 @@
 {
     duration beat { 500 }; // between two reads of what changed
     duration wait { 0 }; // for which the store may hold a read until something changes
+    duration patience { 1000 }; // with a reader that is silent, beyond beat and wait
+};
+
+// What a `mirror_follower` works with; all must outlive its task.
+struct follow_parts
+{
+    key_value_store &store;
+    store_mirror &mirror;
+    mirror_relay &relay;
+    reader_duty &duty;
+    event_log &log;
+    counters &events;
 };
 
 // The task that keeps a `store_mirror` up to date: it reads the prefix, then what changed, and the
-// prefix again when the store no longer has that history. Not thread-safe. What is passed by
-// reference must outlive the task.
+// prefix again when the store no longer has that history. After the first read only the fleet's
+// reader calls the store; the others take what it passes on, and read for themselves when that
+// stays out or does not fit what they have. Not thread-safe.
 class mirror_follower
 {
 public:
-    mirror_follower(asio::any_io_executor executor, key_value_store &store, store_mirror &mirror,
-                    std::string prefix, follow_timing timing, event_log &log, counters &events);
+    mirror_follower(asio::any_io_executor executor, follow_parts parts, std::string prefix,
+                    follow_timing timing);
 
     // Follows until `stop`.
     asio::awaitable<void> run();
@@ -36,31 +52,33 @@
     // Ends `run` after its present call.
     void stop();
 
-    // Whether the last call succeeded.
-    bool isInTouch() const { return m_inTouch; }
+    // A peer has read the store.
+    void onUpdate(const mirror_update &update);
 
-    // When the last successful call began: what the mirror holds is no older.
-    time_point lastHeard() const { return m_lastHeard; }
+    // Whether the mirror is as new as a live reader keeps it.
+    bool isCurrent(time_point now) const;
 
 private:
+    bool mustRead(time_point now) const;
+    asio::awaitable<void> rest(duration time);
     asio::awaitable<bool> readAll();
     asio::awaitable<bool> readChanges();
     void onFailure(const store_error &error);
     void onSuccess(time_point begun);
     duration pauseAfterFailure();
 
-    key_value_store &m_store;
-    store_mirror &m_mirror;
+    void share(std::int64_t fromRevision, std::vector<mirror_change> changes);
+
+    follow_parts m_parts;
     std::string m_prefix;
     follow_timing m_timing;
-    event_log &m_log;
-    counters &m_events;
     signal m_wake;
     std::mt19937_64 m_random;
-    time_point m_lastHeard {};
+    time_point m_lastHeard {}; // what the mirror holds is no older
     unsigned m_failures = 0; // in a row
     bool m_inTouch = false;
     bool m_mustReadAll = true;
+    bool m_isBehind = false; // an update did not fit the mirror
     bool m_stopped = false;
 };
 
--- a/gooseberrymoor/mirror/mirror_listener.h
+++ b/gooseberrymoor/mirror/mirror_listener.h
@@ -17,6 +17,12 @@
 
     // `key` is no longer there.
     virtual void onRemoved(const std::string &key) = 0;
+
+    // Whether a write of `after` over `before` says anything new.
+    virtual bool isNews(const std::string &before, const std::string &after) const
+    {
+        return before != after;
+    }
 };
 
 } // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/mirror/mirror_relay.cpp
@@ -0,0 +1,46 @@
+#include "gooseberrymoor/mirror/mirror_relay.h"
+
+#include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/mirror/mirror_follower.h"
+#include "gooseberrymoor/mirror/mirror_update_codec.h"
+#include "gooseberrymoor/peer/peer_channel.h"
+#include "gooseberrymoor/peer/peer_network.h"
+
+namespace gooseberrymoor {
+
+mirror_relay::mirror_relay(peer_network &network, counters &events)
+    : m_network(network), m_events(events)
+{
+    m_network.setHandler(message_kind::mirror_update, *this);
+}
+
+void mirror_relay::add(const std::string &prefix, mirror_follower &follower)
+{
+    m_followers[prefix] = &follower;
+}
+
+void mirror_relay::share(const mirror_update &update)
+{
+    const auto payload = encodeMirrorUpdate(update);
+    for (const std::string &peer : m_network.connectedPeers()) {
+        if (const auto channel = m_network.channelTo(peer)) {
+            channel->send(message_kind::mirror_update, payload);
+            m_events.add("mirror_updates_sent");
+            m_events.add("mirror_update_bytes_sent", payload.size());
+        }
+    }
+}
+
+bool mirror_relay::onFrame(const std::shared_ptr<peer_channel> &, const frame &message)
+{
+    const auto update = decodeMirrorUpdate(message.payload);
+    if (!update)
+        return false;
+    m_events.add("mirror_updates_received");
+    const auto follower = m_followers.find(update->prefix);
+    if (follower != m_followers.end())
+        follower->second->onUpdate(*update);
+    return true;
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/mirror/mirror_relay.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "gooseberrymoor/mirror/mirror_update.h"
+#include "gooseberrymoor/peer/frame_handler.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace gooseberrymoor {
+
+class counters;
+class mirror_follower;
+class peer_network;
+
+// Passes what this node read from the store to its peers, and what they read to its followers.
+// Not thread-safe. What is passed by reference must outlive it.
+class mirror_relay : public frame_handler
+{
+public:
+    mirror_relay(peer_network &network, counters &events);
+
+    // Updates for `prefix` go to `follower`.
+    void add(const std::string &prefix, mirror_follower &follower);
+
+    // Sends `update` to every linked peer.
+    void share(const mirror_update &update);
+
+    bool onFrame(const std::shared_ptr<peer_channel> &channel, const frame &message) override;
+    void onChannelClosed(const std::shared_ptr<peer_channel> &) override { }
+
+private:
+    peer_network &m_network;
+    counters &m_events;
+    std::map<std::string, mirror_follower *> m_followers; // by prefix
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/mirror/mirror_update.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "gooseberrymoor/base/millis_clock.h"
+#include "gooseberrymoor/mirror/mirror_change.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace gooseberrymoor {
+
+// What one node read of the keys below `prefix` between two revisions of the store, for its peers.
+// Value type.
+struct mirror_update
+{
+    std::string prefix;
+    std::int64_t fromRevision = 0;
+    std::int64_t toRevision = 0;
+    duration wellFor { 0 }; // since the store last failed the reader
+    std::vector<mirror_change> changes; // that matter to readers of the copy
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/mirror/mirror_update_codec.cpp
@@ -0,0 +1,46 @@
+#include "gooseberrymoor/mirror/mirror_update_codec.h"
+
+#include "gooseberrymoor/mirror/mirror_update_generated.h"
+#include "gooseberrymoor/peer/wire.h"
+
+namespace gooseberrymoor {
+
+std::vector<std::uint8_t> encodeMirrorUpdate(const mirror_update &update)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    std::vector<flatbuffers::Offset<wire::key_change>> changes;
+    for (const mirror_change &each : update.changes) {
+        const auto key = builder.CreateString(each.key);
+        const std::string &value = each.value ? *each.value : std::string();
+        const auto bytes = builder.CreateVector(
+            reinterpret_cast<const std::uint8_t *>(value.data()), value.size());
+        changes.push_back(wire::Createkey_change(builder, key, bytes, !each.value, each.revision));
+    }
+    const auto prefix = builder.CreateString(update.prefix);
+    const auto list = builder.CreateVector(changes);
+    builder.Finish(wire::Createmirror_update(builder, prefix, update.fromRevision,
+                                             update.toRevision, update.wellFor.count(), list));
+    const auto bytes = bytesOf(builder);
+    return { bytes.begin(), bytes.end() };
+}
+
+std::optional<mirror_update> decodeMirrorUpdate(std::span<const std::uint8_t> payload)
+{
+    const auto *from = verifiedRoot<wire::mirror_update>(payload);
+    if (!from || !from->changes())
+        return std::nullopt;
+    mirror_update update;
+    update.prefix = textOf(from->prefix());
+    update.fromRevision = from->from_revision();
+    update.toRevision = from->to_revision();
+    update.wellFor = duration(from->well_for_ms());
+    for (const wire::key_change *each : *from->changes()) {
+        mirror_change change { textOf(each->key()), std::nullopt, each->revision() };
+        if (!each->removed() && each->value())
+            change.value.emplace(each->value()->begin(), each->value()->end());
+        update.changes.push_back(std::move(change));
+    }
+    return update;
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/gooseberrymoor/mirror/reader_duty.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "gooseberrymoor/base/millis_clock.h"
+
+namespace gooseberrymoor {
+
+// Says which node reads the store for its peers.
+class reader_duty
+{
+public:
+    virtual ~reader_duty() = default;
+
+    // Whether this node does, as far as it knows.
+    virtual bool isReader(time_point now) const = 0;
+
+    // This node's last call to the store failed, or succeeded again.
+    virtual void setStoreLost(bool lost) = 0;
+};
+
+} // namespace gooseberrymoor
--- a/gooseberrymoor/mirror/store_mirror.cpp
+++ b/gooseberrymoor/mirror/store_mirror.cpp
@@ -8,6 +8,12 @@
 
 namespace gooseberrymoor {
 
+namespace {
+
+constexpr duration longest_well { 24 * 3'600'000 };
+
+} // namespace
+
 store_mirror::store_mirror(mirror_listener &listener, duration returnTime)
     : m_listener(listener), m_returnTime(returnTime)
 {
@@ -31,20 +37,25 @@
     onTime(now);
 }
 
-void store_mirror::onChanges(const std::vector<mirror_change> &changes, std::int64_t revision,
-                             time_point now)
+std::vector<mirror_change> store_mirror::onChanges(const std::vector<mirror_change> &changes,
+                                                   std::int64_t revision, time_point now)
 {
+    std::vector<mirror_change> news;
     for (const mirror_change &each : changes) {
         if (each.value) {
-            putValue(each.key, *each.value, each.revision);
+            if (putValue(each.key, *each.value, each.revision))
+                news.push_back(each);
             continue;
         }
         const auto found = m_entries.find(each.key);
-        if (found != m_entries.end() && found->second.revision < each.revision)
+        if (found != m_entries.end() && found->second.revision < each.revision) {
             removeLater(each.key, now);
+            news.push_back(each);
+        }
     }
     m_revision = std::max(m_revision, revision);
     onTime(now);
+    return news;
 }
 
 void store_mirror::onOutage(time_point now)
@@ -69,6 +80,11 @@
     }
 }
 
+duration store_mirror::wellFor(time_point now) const
+{
+    return m_hadOutage ? now - m_lastOutage : longest_well;
+}
+
 time_point store_mirror::nextWake() const
 {
     time_point next = time_point::max();
@@ -77,16 +93,18 @@
     return next;
 }
 
-void store_mirror::putValue(const std::string &key, const std::string &value, std::int64_t revision)
+// Returns whether the value says anything new.
+bool store_mirror::putValue(const std::string &key, const std::string &value, std::int64_t revision)
 {
     entry &known = m_entries[key];
     if (revision <= known.revision)
-        return;
-    m_removals.erase(key);
-    const bool isNew = known.revision == 0 || known.value != value;
+        return false;
+    const bool wasLeaving = m_removals.erase(key) > 0;
+    const bool isNew = known.revision == 0 || m_listener.isNews(known.value, value);
     known = { value, revision };
     if (isNew)
         m_listener.onValue(key, value, revision);
+    return isNew || wasLeaving;
 }
 
 void store_mirror::removeLater(const std::string &key, time_point now)
--- a/gooseberrymoor/mirror/store_mirror.h
+++ b/gooseberrymoor/mirror/store_mirror.h
@@ -27,9 +27,9 @@
     // All keys as they are at `read.revision`.
     void onRead(const store_read &read, time_point now);
 
-    // What changed up to `revision`.
-    void onChanges(const std::vector<mirror_change> &changes, std::int64_t revision,
-                   time_point now);
+    // What changed up to `revision`. Returns those changes that say anything new.
+    std::vector<mirror_change> onChanges(const std::vector<mirror_change> &changes,
+                                         std::int64_t revision, time_point now);
 
     // A call to the store failed.
     void onOutage(time_point now);
@@ -40,6 +40,9 @@
     // When `onTime` has something to do; the far future if never.
     time_point nextWake() const;
 
+    // How long the store has been well; the longest time if it never failed.
+    duration wellFor(time_point now) const;
+
     // The store's revision that the copy stands at; 0 before the first read.
     std::int64_t revision() const { return m_revision; }
 
@@ -50,7 +53,7 @@
         std::int64_t revision = 0;
     };
 
-    void putValue(const std::string &key, const std::string &value, std::int64_t revision);
+    bool putValue(const std::string &key, const std::string &value, std::int64_t revision);
     void removeLater(const std::string &key, time_point now);
 
     mirror_listener &m_listener;
--- a/gooseberrymoor/peer/message_kind.h
+++ b/gooseberrymoor/peer/message_kind.h
@@ -23,9 +23,11 @@
     view_update = 28,
     configuration_update = 30,
     version_evidence = 40,
+    fleet_heartbeat = 50,
+    mirror_update = 51,
 };
 
-constexpr name_table<message_kind, 15> names(message_kind)
+constexpr name_table<message_kind, 17> names(message_kind)
 {
     return { { { message_kind::hello, "hello" },
                { message_kind::leaf_request, "leaf_request" },
@@ -41,7 +43,9 @@
                { message_kind::promise_reply, "promise_reply" },
                { message_kind::view_update, "view_update" },
                { message_kind::configuration_update, "configuration_update" },
-               { message_kind::version_evidence, "version_evidence" } } };
+               { message_kind::version_evidence, "version_evidence" },
+               { message_kind::fleet_heartbeat, "fleet_heartbeat" },
+               { message_kind::mirror_update, "mirror_update" } } };
 }
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/peer/peer_network.cpp
+++ b/gooseberrymoor/peer/peer_network.cpp
@@ -10,7 +10,10 @@
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/read.hpp>
 
+#include <netinet/tcp.h>
+
 #include <random>
+#include <variant>
 
 namespace gooseberrymoor {
 
@@ -21,6 +24,9 @@
 
 constexpr duration shortest_redial { 50 };
 constexpr duration longest_redial { 1000 };
+constexpr duration longest_dial { 1000 };
+constexpr int unacknowledged_limit = 1500; // ms until a peer that acknowledges nothing is lost
+using user_timeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 duration jittered(duration base)
 {
@@ -148,7 +154,11 @@
     duration redial = shortest_redial;
     while (wants(peer, address)) {
         tcp::socket socket(m_executor);
-        const auto [error] = co_await socket.async_connect(remote, as_result);
+        timer limit(m_executor, millis_clock::now() + longest_dial);
+        const auto dialled
+            = co_await (socket.async_connect(remote, as_result) || limit.async_wait(as_result));
+        const auto *connected = std::get_if<0>(&dialled);
+        const bool error = !connected || std::get<0>(*connected);
         if (!error && wants(peer, address)) {
             redial = shortest_redial;
             auto channel = std::make_shared<peer_channel>(m_executor);
@@ -174,6 +184,7 @@
 {
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
+    socket.set_option(user_timeout(unacknowledged_limit), ignored);
     m_channels.insert(channel);
     co_await (readLoop(socket, channel) || channel->writeLoop(socket));
     channel->close();
--- a/gooseberrymoor/replica/expected_wait_selector.cpp
+++ b/gooseberrymoor/replica/expected_wait_selector.cpp
@@ -35,7 +35,7 @@
                                                               const std::set<std::string> &excluded,
                                                               time_point now)
 {
-    const double typical = typicalLatencyMs(service, now);
+    const double typical = typicalLatencyMs(service);
     std::shared_ptr<known_replica> best;
     double bestWait = std::numeric_limits<double>::max();
     for (const auto &each : m_replicas.of(service)) {
@@ -53,11 +53,11 @@
 }
 
 // The median over the service's targets.
-double expected_wait_selector::typicalLatencyMs(const std::string &service, time_point now) const
+double expected_wait_selector::typicalLatencyMs(const std::string &service) const
 {
     std::vector<double> latencies;
     for (const auto &each : m_replicas.of(service)) {
-        const double latency = each->health.latencyMs(0, now);
+        const double latency = each->health.averageLatencyMs();
         if (latency > 0)
             latencies.push_back(latency);
     }
--- a/gooseberrymoor/replica/replica_health.h
+++ b/gooseberrymoor/replica/replica_health.h
@@ -32,6 +32,9 @@
     // long ago fades towards `otherwise`, so that a target that was slow is tried again.
     double latencyMs(double otherwise, time_point now) const;
 
+    // The same average without fading; zero before the first answer.
+    double averageLatencyMs() const { return m_latencyMs; }
+
     // Requests waiting at the target by its own word, while that is recent.
     unsigned reportedWaiting(time_point now) const;
 
--- /dev/null
+++ b/gooseberrymoor/routing/route_table_test.cpp
@@ -0,0 +1,84 @@
+#include "gooseberrymoor/routing/route_table.h"
+
+#include "gooseberrymoor/routing/split_choice.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <cmath>
+#include <map>
+
+using namespace gooseberrymoor;
+
+namespace {
+
+route routeOf(const std::string &name, const std::string &host, const std::string &prefix)
+{
+    route value;
+    value.name = name;
+    value.host = host;
+    value.pathPrefix = prefix;
+    value.split.push_back({ name + "-service", 1 });
+    return value;
+}
+
+} // namespace
+
+TEST_CASE("A request finds its route by host and path")
+{
+    routing_configuration configuration;
+    configuration.routes
+        = { routeOf("short", "a.example", "/heat/"), routeOf("long", "a.example", "/heat/live/"),
+            routeOf("other", "b.example", "/heat/") };
+    const route_table table(configuration);
+
+    SUBCASE("and the longest prefix wins")
+    {
+        REQUIRE(table.find("a.example", "/heat/live/7"));
+        CHECK(table.find("a.example", "/heat/live/7")->name == "long");
+        CHECK(table.find("a.example", "/heat/7")->name == "short");
+    }
+    SUBCASE("where a port and a query do not count")
+    {
+        REQUIRE(table.find("b.example:8226", "/heat/7?x=/live/"));
+        CHECK(table.find("b.example:8226", "/heat/7?x=/live/")->name == "other");
+    }
+    SUBCASE("but a prefix ends with its slash")
+    {
+        CHECK(!table.find("a.example", "/heating/7"));
+        SUBCASE("and a query does not complete it")
+        {
+            CHECK(!table.find("a.example", "/heat?/"));
+        }
+    }
+    SUBCASE("and there is none for another host")
+    {
+        CHECK(!table.find("c.example", "/heat/7"));
+    }
+}
+
+TEST_CASE("A split shares requests by weight")
+{
+    CHECK(
+        rc::check("so that no service is ever a whole request and one a service off its part", [] {
+            const auto weights = *rc::gen::container<std::vector<int>>(*rc::gen::inRange(1, 6),
+                                                                       rc::gen::inRange(1, 50));
+            route split;
+            split.name = "split";
+            double total = 0;
+            for (std::size_t i = 0; i < weights.size(); ++i) {
+                split.split.push_back({ std::to_string(i), static_cast<double>(weights[i]) });
+                total += weights[i];
+            }
+            split_choice choice;
+            std::map<std::string, double> counts;
+            for (int sent = 1; sent <= 200; ++sent) {
+                counts[choice.next(split)] += 1;
+                for (const weighted_service &each : split.split) {
+                    const double part = sent * each.weight / total;
+                    RC_ASSERT(std::abs(counts[each.service] - part)
+                              <= static_cast<double>(weights.size()));
+                }
+            }
+        }));
+}
--- a/gooseberrymoor/tier/query_tier.cpp
+++ b/gooseberrymoor/tier/query_tier.cpp
@@ -11,10 +11,10 @@
 
 constexpr duration change_check { 100 };
 constexpr duration drain_check { 10 };
-constexpr follow_timing operator_timing { duration(50), duration(1500) };
-constexpr follow_timing replica_timing { duration(700), duration(0) };
-constexpr follow_timing fleet_timing { duration(200), duration(1500) };
-constexpr duration idle_close { 400 }; // before the end: no more callers are let in
+constexpr const char *fleet_cell = "fleet";
+constexpr follow_timing operator_timing { duration(50), duration(1000), duration(500) };
+constexpr follow_timing replica_timing { duration(700), duration(0), duration(500) };
+constexpr follow_timing fleet_timing { duration(200), duration(1000), duration(500) };
 constexpr duration operator_return { 0 }; // operators' keys do not lapse
 
 } // namespace
@@ -28,53 +28,64 @@
       m_pool(executor, protocol, events),
       m_forwarder(executor, { m_pool, m_selector, m_budget, log, events }),
       m_operators(reader, m_replicas, log, [this] { onConfiguration(); }),
-      m_replicaIntake(reader, m_replicas, log, events), m_fleet(m_settings.own, log),
+      m_replicaIntake(reader, m_replicas, log, events),
+      m_network(executor, m_settings.own.name, fleet_cell, events), m_liveness(m_settings.own.name),
+      m_heartbeats(executor, m_settings.own.incarnation, m_network, m_liveness, events),
+      m_relay(m_network, events), m_fleet(m_settings.own, m_liveness, log),
       m_operatorMirror(m_operators, operator_return),
       m_replicaMirror(m_replicaIntake, m_settings.returnTime),
       m_fleetMirror(m_fleet, m_settings.returnTime),
-      m_operatorFollower(executor, store, m_operatorMirror, reader.operatorPrefix(),
-                         operator_timing, log, events),
-      m_replicaFollower(executor, store, m_replicaMirror, reader.replicaPrefix(), replica_timing,
-                        log, events),
-      m_fleetFollower(executor, store, m_fleetMirror, m_settings.fleetPrefix, fleet_timing, log,
-                      events),
+      m_operatorFollower(executor, { store, m_operatorMirror, m_relay, m_liveness, log, events },
+                         reader.operatorPrefix(), operator_timing),
+      m_replicaFollower(executor, { store, m_replicaMirror, m_relay, m_liveness, log, events },
+                        reader.replicaPrefix(), replica_timing),
+      m_fleetFollower(executor, { store, m_fleetMirror, m_relay, m_liveness, log, events },
+                      m_settings.fleetPrefix, fleet_timing),
       m_announcer(executor, store, m_settings.fleetPrefix, m_settings.own, log, events),
       m_wake(executor)
 {
 }
 
-void query_tier::start(http_server &callers)
+tl::expected<void, std::string> query_tier::start(http_server &callers)
 {
     m_callers = &callers;
+    if (auto opened = m_network.start(m_settings.own.peerAddress); !opened)
+        return opened;
     onFleetChange();
     startTask(m_executor, m_events, "operators", m_operatorFollower.run());
     startTask(m_executor, m_events, "replicas", m_replicaFollower.run());
     startTask(m_executor, m_events, "fleet", m_fleetFollower.run());
+    startTask(m_executor, m_events, "heartbeats", m_heartbeats.run());
     startTask(m_executor, m_events, "announcer", m_announcer.run());
     startTask(m_executor, m_events, "changes", applyChanges());
     m_log.write("node_started",
                 { { "callers", toString(m_settings.own.callerAddress) },
                   { "availability_zone", m_settings.own.availabilityZone } });
+    return {};
 }
 
 asio::awaitable<void> query_tier::stop()
 {
-    const time_point end = millis_clock::now() + m_settings.stopTime;
+    const stop_schedule schedule(millis_clock::now(), m_settings.stopTime);
+    m_stop = schedule;
     m_log.write("node_leaving", { { "running", std::to_string(m_forwarder.running()) } });
-    m_leaving = true;
     m_fleet.setLeaving();
+    m_liveness.setLeaving();
+    m_heartbeats.setLeaving();
     m_announcer.setLeaving();
     m_callers->startDraining();
-    while (millis_clock::now() < end - idle_close)
-        co_await m_wake.wait(end - idle_close);
+    while (millis_clock::now() < schedule.closeTime())
+        co_await m_wake.wait(schedule.closeTime());
     m_callers->stopAccepting();
-    while (millis_clock::now() < end && m_callers->openConnections() > 0)
+    while (millis_clock::now() < schedule.end() && m_callers->openConnections() > 0)
         co_await m_wake.wait(millis_clock::now() + drain_check);
     m_stopped = true;
     m_operatorFollower.stop();
     m_replicaFollower.stop();
     m_fleetFollower.stop();
+    m_heartbeats.stop();
     co_await m_announcer.stop();
+    m_network.stop();
     m_pool.closeIdle();
     m_wake.notify();
     m_log.write("node_stopped", { { "running", std::to_string(m_forwarder.running()) } });
@@ -82,12 +93,18 @@
 
 bool query_tier::isReady() const
 {
-    return routes() && !m_leaving;
+    return routes() && !m_stop;
+}
+
+bool query_tier::mayTake(duration longest) const
+{
+    return !m_stop || m_stop->mayTake(millis_clock::now(), longest);
 }
 
 asio::awaitable<void> query_tier::applyChanges()
 {
     while (!m_stopped) {
+        m_fleet.onTime(millis_clock::now());
         if (m_fleet.generation() != m_fleetGeneration)
             onFleetChange();
         m_pool.openAhead(m_replicas);
@@ -108,6 +125,7 @@
     m_fleetGeneration = m_fleet.generation();
     m_cold.setNodes(m_fleet.names());
     m_budget.setNodes(m_fleet.size());
+    m_network.setPeers(m_fleet.peerAddresses());
     if (routes())
         m_pool.configure(routes()->configuration(), m_fleet.size());
 }
--- a/gooseberrymoor/tier/query_tier.h
+++ b/gooseberrymoor/tier/query_tier.h
@@ -5,19 +5,27 @@
 #include "gooseberrymoor/base/signal.h"
 #include "gooseberrymoor/fleet/fleet_announcer.h"
 #include "gooseberrymoor/fleet/fleet_view.h"
+#include "gooseberrymoor/fleet/heartbeat_exchange.h"
+#include "gooseberrymoor/fleet/peer_liveness.h"
 #include "gooseberrymoor/forward/forwarder.h"
 #include "gooseberrymoor/forward/leaf_pool.h"
 #include "gooseberrymoor/forward/repeat_budget.h"
 #include "gooseberrymoor/mirror/mirror_follower.h"
+#include "gooseberrymoor/mirror/mirror_relay.h"
 #include "gooseberrymoor/mirror/store_mirror.h"
+#include "gooseberrymoor/peer/peer_network.h"
 #include "gooseberrymoor/replica/cold_allowance.h"
 #include "gooseberrymoor/replica/expected_wait_selector.h"
 #include "gooseberrymoor/replica/replica_set.h"
 #include "gooseberrymoor/tier/operator_intake.h"
 #include "gooseberrymoor/tier/replica_intake.h"
+#include "gooseberrymoor/tier/stop_schedule.h"
 #include "gooseberrymoor/tier/tier_settings.h"
 
+#include <tl/expected.hpp>
+
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace gooseberrymoor {
@@ -38,9 +46,9 @@
                const catalog_reader &reader, const leaf_protocol &protocol, event_log &log,
                counters &events);
 
-    // Starts the tasks. `callers` gets the limits of each configuration and is stopped with the
-    // tier; it must outlive it.
-    void start(http_server &callers);
+    // Opens the port for peers and starts the tasks; the error is for people. `callers` gets the
+    // limits of each configuration and is stopped with the tier; it must outlive it.
+    tl::expected<void, std::string> start(http_server &callers);
 
     // Leaves without cutting a request: named to callers no more, it serves those that still
     // come until the stop time is nearly over, and finishes what runs.
@@ -49,11 +57,15 @@
     // Whether it can serve: it has a configuration and does not leave.
     bool isReady() const;
 
+    // Whether a request that may take as long as `longest` is taken now: a node that stops takes
+    // none that it would cut.
+    bool mayTake(duration longest) const;
+
     // The routes in force; null before the first configuration.
     const std::shared_ptr<const route_table> &routes() const { return m_operators.routes(); }
 
     // Whether the routes are the newest as far as this node can know.
-    bool isCurrent() const { return m_operatorFollower.isInTouch(); }
+    bool isCurrent() const { return m_operatorFollower.isCurrent(millis_clock::now()); }
 
     forwarder &requests() { return m_forwarder; }
     const fleet_view &fleet() const { return m_fleet; }
@@ -77,6 +89,10 @@
     forwarder m_forwarder;
     operator_intake m_operators;
     replica_intake m_replicaIntake;
+    peer_network m_network;
+    peer_liveness m_liveness;
+    heartbeat_exchange m_heartbeats;
+    mirror_relay m_relay;
     fleet_view m_fleet;
     store_mirror m_operatorMirror;
     store_mirror m_replicaMirror;
@@ -88,7 +104,7 @@
     signal m_wake;
     http_server *m_callers = nullptr;
     std::uint64_t m_fleetGeneration = 0;
-    bool m_leaving = false;
+    std::optional<stop_schedule> m_stop; // once it has been told to
     bool m_stopped = false;
 };
 
--- a/gooseberrymoor/tier/replica_intake.cpp
+++ b/gooseberrymoor/tier/replica_intake.cpp
@@ -37,6 +37,15 @@
                       { "revision", std::to_string(revision) } });
 }
 
+// Targets write over and over what says nothing new of them.
+bool replica_intake::isNews(const std::string &before, const std::string &after) const
+{
+    const std::string anyKey;
+    const auto old = m_reader.readReplica(anyKey, before);
+    const auto entry = m_reader.readReplica(anyKey, after);
+    return !old || !entry || *old != *entry;
+}
+
 void replica_intake::onRemoved(const std::string &key)
 {
     const auto found = m_ids.find(key);
