Short calls to a store that does not answer; hedge only what is nearly answered

Change: call_patience; request_run hedges when at most half of the shards are silent, and asks refused shards again.

--- a/gooseberrymoor/forward/request_run.cpp
+++ b/gooseberrymoor/forward/request_run.cpp
@@ -13,6 +13,7 @@
 
 constexpr unsigned most_refusals = 4; // of one shard's attempts, until it is given up
 constexpr duration retry_pause { 15 }; // after every target of a shard has refused
+constexpr double most_hedged_share = 0.5; // of the shards of a request
 constexpr double rounding = 1e-9;
 
 } // namespace
@@ -95,13 +96,13 @@
         return true;
     if (m_plan.isSharded && now >= m_plan.answerBy && isSuccess())
         return true;
-    const auto over = static_cast<std::size_t>(
-        std::count_if(m_shards.begin(), m_shards.end(),
-                      [this](const shard_state &state) { return isOver(state); }));
-    if (over == m_shards.size())
+    // Enough have answered, and nothing is under way that could add to them.
+    if (isSuccess() && !hasUnansweredOutstanding())
         return true;
-    // What is over and not answered can't be made up for by the rest.
-    const std::size_t lost = over - m_answered;
+    // So many shards are lost that the rest can't be enough.
+    const auto lost = static_cast<std::size_t>(
+        std::count_if(m_shards.begin(), m_shards.end(),
+                      [this](const shard_state &state) { return isLost(state); }));
     return m_shards.size() - lost < leastShards();
 }
 
@@ -163,18 +164,30 @@
 bool request_run::mayHedge(const shard_state &state) const
 {
     return m_plan.hedgeDelay > duration(0) && m_plan.kind == request_kind::idempotent
-        && state.outstanding.size() == 1 && state.runs < m_plan.maxAttempts;
+        && state.outstanding.size() == 1 && state.runs < m_plan.maxAttempts && isNearlyAnswered();
 }
 
-// Whether nothing is under way for a shard that is worth waiting for.
-bool request_run::isOver(const shard_state &state) const
+// Whether a shard will not answer any more. One without any target counts at once.
+bool request_run::isLost(const shard_state &state) const
 {
-    if (state.answered)
-        return true;
-    if (!state.outstanding.empty())
+    if (state.answered || !state.outstanding.empty())
         return false;
-    // A sharded answer does not wait for targets that are yet to appear.
-    return m_plan.isSharded || !mayRetry(state) || state.runs + state.refusals == 0;
+    return !mayRetry(state) || state.runs + state.refusals == 0;
+}
+
+bool request_run::hasUnansweredOutstanding() const
+{
+    return std::any_of(m_shards.begin(), m_shards.end(), [](const shard_state &state) {
+        return !state.answered && !state.outstanding.empty();
+    });
+}
+
+// With more silent shards than this the cause is not one target, and hedges would only add load.
+bool request_run::isNearlyAnswered() const
+{
+    const std::size_t silent = m_shards.size() - m_answered;
+    return static_cast<double>(silent)
+        <= std::max(1.0, most_hedged_share * static_cast<double>(m_shards.size()));
 }
 
 std::size_t request_run::leastShards() const
--- a/gooseberrymoor/forward/request_run.h
+++ b/gooseberrymoor/forward/request_run.h
@@ -72,7 +72,9 @@
     void send(std::vector<run_send> &sends, std::size_t shard, send_reason reason, time_point now);
     bool mayRetry(const shard_state &state) const;
     bool mayHedge(const shard_state &state) const;
-    bool isOver(const shard_state &state) const;
+    bool isLost(const shard_state &state) const;
+    bool hasUnansweredOutstanding() const;
+    bool isNearlyAnswered() const;
     std::size_t leastShards() const;
 
     run_plan m_plan;
--- a/gooseberrymoor/forward/request_run_test.cpp
+++ b/gooseberrymoor/forward/request_run_test.cpp
@@ -135,6 +135,11 @@
             CHECK(run.isSuccess());
         }
     }
+    SUBCASE("of which most are silent hedges none of them, for the cause is not one target")
+    {
+        answer(0, start + duration(10));
+        CHECK(run.onTime(start + duration(30)).empty());
+    }
     SUBCASE("with too many silent shards")
     {
         answer(0, start + duration(10));
@@ -154,6 +159,24 @@
     }
 }
 
+TEST_CASE("A shard whose target refuses while the budget is used up")
+{
+    scripted_selector selector;
+    selector.targets["s0"] = 3;
+    repeat_budget none { { 0, 0, duration(10'000) } };
+    run_plan plan = shardedPlan(1);
+    plan.leastShare = 1;
+    request_run run(plan, selector, none);
+    const auto first = run.start(start);
+    REQUIRE(first.size() == 1);
+    CHECK(run.onEnding(0, first[0].attempt, replica_ending::refused, start + duration(2)).empty());
+    SUBCASE("is not given up while it may still be asked again")
+    {
+        CHECK(!run.isComplete(start + duration(2)));
+        CHECK(run.nextWake(start + duration(2)) <= start + duration(20));
+    }
+}
+
 TEST_CASE("A request that must not run twice")
 {
     fixture site;
--- /dev/null
+++ b/gooseberrymoor/store/call_patience_test.cpp
@@ -0,0 +1,36 @@
+#include "gooseberrymoor/store/call_patience.h"
+
+#include <doctest/doctest.h>
+
+using namespace gooseberrymoor;
+
+TEST_CASE("A store is waited for")
+{
+    call_patience patience(duration(300), duration(1500));
+
+    SUBCASE("shortly, so that its return is soon noticed")
+    {
+        CHECK(patience.time() == duration(300));
+    }
+    SUBCASE("longer after calls that were not answered in time")
+    {
+        patience.onTimedOut();
+        CHECK(patience.time() == duration(600));
+        SUBCASE("up to a limit")
+        {
+            for (int i = 0; i < 5; ++i)
+                patience.onTimedOut();
+            CHECK(patience.time() == duration(1500));
+        }
+        SUBCASE("as long as it is slow")
+        {
+            patience.onAnswered(duration(400));
+            CHECK(patience.time() == duration(1200));
+            SUBCASE("and no longer")
+            {
+                patience.onAnswered(duration(5));
+                CHECK(patience.time() == duration(300));
+            }
+        }
+    }
+}
