--- a/gooseberrymoor/replica/expected_wait_selector.cpp
+++ b/gooseberrymoor/replica/expected_wait_selector.cpp
@@ -12,7 +12,8 @@
 namespace {
 
 constexpr double unknown_latency_ms = 20;
-constexpr double other_zone_factor = 3; // a target elsewhere must be this much faster
+constexpr double other_zone_cost = 1.5; // in typical latencies
+constexpr double failure_cost_ms = 150; // of a request that has to be sent again
 constexpr double overdue_factor = 3; // times the typical latency
 constexpr double overdue_slack_ms = 8;
 constexpr double overdue_penalty_ms = 400; // longer than a pause of a target
@@ -76,7 +77,8 @@
     const double queued = health.outstanding() + health.reportedWaiting(now);
     double wait = health.latencyMs(typicalMs, now) * (1 + queued / slots);
     if (target.entry.availabilityZone != m_ownZone)
-        wait *= other_zone_factor;
+        wait += other_zone_cost * typicalMs;
+    wait += failure_cost_ms * health.failureShare(now);
     if (toMs(health.oldestWait(now)) > overdue_factor * typicalMs + overdue_slack_ms)
         wait += overdue_penalty_ms;
     if (health.isSuspect(now))
--- a/gooseberrymoor/replica/replica_health.cpp
+++ b/gooseberrymoor/replica/replica_health.cpp
@@ -9,6 +9,8 @@
 
 constexpr double newest_weight = 0.2; // of one latency in the average
 constexpr double fade_half_life_ms = 3000;
+constexpr double newest_outcome_weight = 0.15; // of one outcome in the share of failures
+constexpr double failure_half_life_ms = 2000;
 constexpr duration load_report_age { 150 }; // until a report says nothing any more
 constexpr duration first_suspicion { 100 };
 constexpr duration longest_suspicion { 2000 };
@@ -37,6 +39,7 @@
     switch (ending) {
     case replica_ending::answered:
         recordLatency(taken, now);
+        recordOutcome(false, now);
         m_failuresInARow = 0;
         m_suspectUntil = {};
         break;
@@ -46,6 +49,7 @@
     case replica_ending::abandoned:
         break;
     default:
+        recordOutcome(true, now);
         recordFailure(now);
     }
 }
@@ -64,6 +68,12 @@
     return weight * m_latencyMs + (1 - weight) * otherwise;
 }
 
+double replica_health::failureShare(time_point now) const
+{
+    const double age = static_cast<double>((now - m_outcomeSeen).count());
+    return m_failureShare * std::exp2(-age / failure_half_life_ms);
+}
+
 unsigned replica_health::reportedWaiting(time_point now) const
 {
     return now - m_loadSeen <= load_report_age ? m_load.waiting : 0;
@@ -76,6 +86,13 @@
     m_latencySeen = now;
 }
 
+void replica_health::recordOutcome(bool failed, time_point now)
+{
+    const double past = failureShare(now);
+    m_failureShare = past + newest_outcome_weight * ((failed ? 1 : 0) - past);
+    m_outcomeSeen = now;
+}
+
 void replica_health::recordFailure(time_point now)
 {
     const unsigned doublings = std::min(m_failuresInARow, most_doublings);
--- a/gooseberrymoor/replica/replica_health.h
+++ b/gooseberrymoor/replica/replica_health.h
@@ -35,6 +35,9 @@
     // The same average without fading; zero before the first answer.
     double averageLatencyMs() const { return m_latencyMs; }
 
+    // Share of the recent requests that failed, in [0, 1]; fades with time.
+    double failureShare(time_point now) const;
+
     // Requests waiting at the target by its own word, while that is recent.
     unsigned reportedWaiting(time_point now) const;
 
@@ -44,6 +47,7 @@
 private:
     void recordLatency(duration taken, time_point now);
     void recordFailure(time_point now);
+    void recordOutcome(bool failed, time_point now);
 
     std::map<std::uint64_t, time_point> m_sent;
     std::uint64_t m_nextTicket = 1;
@@ -53,6 +57,8 @@
     time_point m_loadSeen {};
     time_point m_suspectUntil {};
     unsigned m_failuresInARow = 0;
+    double m_failureShare = 0;
+    time_point m_outcomeSeen {};
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/replica/replica_test.cpp
+++ b/gooseberrymoor/replica/replica_test.cpp
@@ -89,6 +89,16 @@
             CHECK(site.choose(start, { "r-b", "r-c" }) == "r-a");
         }
     }
+    SUBCASE("elsewhere, when many requests to its own fail, also right after one that did not")
+    {
+        for (int i = 0; i < answers_to_learn; ++i) {
+            const auto ticket = own->health.onSent(start);
+            own->health.onEnded(ticket, replica_ending::lost, std::nullopt, start);
+            answerIn(*own, duration(20), start);
+        }
+        CHECK(!own->health.isSuspect(start));
+        CHECK(site.choose() != "r-a");
+    }
     SUBCASE("elsewhere, when its own drains")
     {
         replica draining = own->entry;
