Test the path on the platform with stand-ins of its store and targets; describe it

Cause: what speaks to the platform had tests of its codecs only. Change: testing/platform_stand_in speaks the store's and the targets' calls; platform/path_test tells how callers are served, changes come into force, the store is out, nodes stop and die, on nodes with executors of their own. docs/PLATFORM.md, DEVELOPERS.md, GLOSSARY.md.

--- /dev/null
+++ b/testing/platform_stand_in/leaf_stand_in.cpp
@@ -0,0 +1,76 @@
+#include "leaf_stand_in.h"
+
+#include "gooseberrymoor/base/timer.h"
+#include "gooseberrymoor/http/http_headers.h"
+#include "platform/wire_names.h"
+
+#include <boost/json.hpp>
+
+namespace gooseberrymoor {
+
+namespace {
+
+constexpr int slots = 4;
+
+http_reply notExecuted(unsigned status)
+{
+    http_reply reply(status, "");
+    reply.headers.emplace_back(platform::not_executed_field, "1");
+    return reply;
+}
+
+} // namespace
+
+leaf_stand_in::leaf_stand_in(std::string id, std::string service, endpoint address,
+                             std::string zone, std::string body)
+    : m_id(std::move(id)), m_service(std::move(service)), m_address(std::move(address)),
+      m_zone(std::move(zone)), m_body(std::move(body))
+{
+}
+
+asio::awaitable<http_reply> leaf_stand_in::handle(http_request request)
+{
+    const std::string attempt(headerValue(request.headers, platform::attempt_id_field));
+    if (headerValue(request.headers, platform::expected_instance_field) != m_id)
+        co_return notExecuted(421);
+    if (m_mood == leaf_mood::full)
+        co_return notExecuted(503);
+    ++m_runs;
+    ++m_runsById[attempt];
+    timer work(co_await asio::this_coro::executor, millis_clock::now() + m_latency);
+    co_await work.async_wait(as_result);
+    if (m_mood == leaf_mood::losing)
+        throw std::runtime_error("the answer is lost"); // the server closes the connection
+    http_reply reply(m_mood == leaf_mood::failing ? 500 : 200, m_body);
+    reply.headers.emplace_back(platform::attempt_id_field, attempt);
+    reply.headers.emplace_back(platform::signature_field, m_id + "." + attempt);
+    reply.headers.emplace_back(platform::load_field, "1,0," + std::to_string(slots));
+    co_return reply;
+}
+
+http_reply leaf_stand_in::refuse(error_kind)
+{
+    return notExecuted(503);
+}
+
+std::string leaf_stand_in::entry(const std::string &state) const
+{
+    const boost::json::object body { { "service", m_service },
+                                     { "address", toString(m_address) },
+                                     { "zone", m_zone },
+                                     { "version", "v1" },
+                                     { "slots", slots },
+                                     { "state", state },
+                                     { "cold_remaining_ms", 0 },
+                                     { "sequence", 1 },
+                                     { "born", 1 } };
+    return boost::json::serialize(body);
+}
+
+int leaf_stand_in::runsOf(const std::string &attemptId) const
+{
+    const auto found = m_runsById.find(attemptId);
+    return found == m_runsById.end() ? 0 : found->second;
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/testing/platform_stand_in/platform_store_stand_in.cpp
@@ -0,0 +1,137 @@
+#include "platform_store_stand_in.h"
+
+#include <boost/json.hpp>
+
+namespace gooseberrymoor {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr duration longest_silence { 60'000 };
+
+// The value of `name` in the query of `path`; keys of these tests need no unescaping.
+std::string queryValue(const std::string &path, const std::string &name)
+{
+    const std::size_t at = path.find(name + "=");
+    if (at == std::string::npos)
+        return "";
+    const std::size_t begin = at + name.size() + 1;
+    return path.substr(begin, path.find('&', begin) - begin);
+}
+
+std::int64_t numberIn(const std::string &text)
+{
+    return text.empty() ? 0 : std::stoll(text);
+}
+
+std::int64_t leaseIn(const std::string &path)
+{
+    return numberIn(path.substr(path.rfind('/') + 1));
+}
+
+} // namespace
+
+platform_store_stand_in::platform_store_stand_in(asio::any_io_executor executor)
+    : m_changed(std::move(executor))
+{
+}
+
+asio::awaitable<http_reply> platform_store_stand_in::handle(http_request request)
+{
+    ++m_calls[request.path.substr(0, request.path.find('?'))];
+    if (m_state.endLeases(millis_clock::now()))
+        m_changed.notify();
+    if (m_mood == store_mood::silent)
+        co_await neverAnswer();
+    if (m_mood == store_mood::busy)
+        co_return refuse(error_kind::overloaded);
+    if (request.path.starts_with("/kv-watch"))
+        co_return co_await watch(request.path);
+    http_reply reply = answer(request);
+    m_changed.notify();
+    if (request.path == "/kv-txn" && m_losses > 0) {
+        --m_losses;
+        co_await neverAnswer();
+    }
+    co_return reply;
+}
+
+http_reply platform_store_stand_in::refuse(error_kind)
+{
+    return { 503, "{}" };
+}
+
+void platform_store_stand_in::put(const std::string &key, const std::string &value)
+{
+    m_state.put(key, value);
+    m_changed.notify();
+}
+
+void platform_store_stand_in::remove(const std::string &key)
+{
+    m_state.remove(key);
+    m_changed.notify();
+}
+
+int platform_store_stand_in::calls(const std::string &path) const
+{
+    const auto found = m_calls.find(path);
+    return found == m_calls.end() ? 0 : found->second;
+}
+
+http_reply platform_store_stand_in::answer(const http_request &request)
+{
+    const time_point now = millis_clock::now();
+    const std::string &path = request.path;
+    if (path.starts_with("/kv-range")) {
+        return { 200,
+                 json::serialize(
+                     m_state.range(queryValue(path, "path_prefix"), queryValue(path, "after"))) };
+    }
+    if (path == "/kv-txn") {
+        const auto [status, body] = m_state.transact(json::parse(request.body).as_object());
+        return { status, json::serialize(body) };
+    }
+    if (path == "/kv-lease") {
+        const json::value asked = json::parse(request.body);
+        const duration time(asked.as_object().at("ttl_ms").to_number<std::int64_t>());
+        const json::object body { { "lease", m_state.grantLease(time, now) },
+                                  { "ttl_ms", time.count() } };
+        return { 200, json::serialize(body) };
+    }
+    if (path.starts_with("/kv-keep/")) {
+        const auto left = m_state.renew(leaseIn(path), now);
+        if (!left)
+            return { 404, "{}" };
+        return { 200, json::serialize(json::object { { "ttl_ms", left->count() } }) };
+    }
+    if (path.starts_with("/kv-lease-end/"))
+        return { m_state.endLease(leaseIn(path)) ? 200U : 404U, "{}" };
+    return { 404, "{}" };
+}
+
+asio::awaitable<http_reply> platform_store_stand_in::watch(std::string path)
+{
+    const std::string prefix = queryValue(path, "path_prefix");
+    const std::int64_t after = numberIn(queryValue(path, "after"));
+    const time_point until = millis_clock::now() + duration(numberIn(queryValue(path, "wait_ms")));
+    while (true) {
+        const auto changes = m_state.changes(prefix, after);
+        if (!changes)
+            co_return http_reply(410, "{}");
+        const bool hasEvents = !changes->at("events").as_array().empty();
+        if (hasEvents || millis_clock::now() >= until)
+            co_return http_reply(200, json::serialize(*changes));
+        co_await m_changed.wait(until);
+    }
+}
+
+asio::awaitable<void> platform_store_stand_in::neverAnswer()
+{
+    const time_point until = millis_clock::now() + longest_silence;
+    timer wait(co_await asio::this_coro::executor, until);
+    co_await wait.async_wait(as_result);
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/testing/platform_stand_in/platform_store_state.cpp
@@ -0,0 +1,156 @@
+#include "platform_store_state.h"
+
+#include "gooseberrymoor/store/etcd_codec.h"
+
+#include <boost/json.hpp>
+
+namespace gooseberrymoor {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_condition_failed = 412;
+
+std::string textOf(const json::object &object, std::string_view key)
+{
+    return std::string(object.at(key).as_string());
+}
+
+} // namespace
+
+json::object platform_store_state::describe(const std::string &key, const item &each)
+{
+    return { { "key", key },
+             { "value", toBase64(each.value) },
+             { "revision", each.revision },
+             { "created_revision", each.created },
+             { "lease", each.lease } };
+}
+
+json::object platform_store_state::range(const std::string &prefix, const std::string &after) const
+{
+    json::array items;
+    bool hasMore = false;
+    for (const auto &[key, each] : m_items) {
+        if (!key.starts_with(prefix) || (!after.empty() && key <= after))
+            continue;
+        if (items.size() == page_size) {
+            hasMore = true;
+            break;
+        }
+        items.emplace_back(describe(key, each));
+    }
+    return { { "items", std::move(items) },
+             { "has_more", hasMore },
+             { "store_revision", m_revision } };
+}
+
+std::optional<json::object> platform_store_state::changes(const std::string &prefix,
+                                                          std::int64_t after) const
+{
+    if (after < m_compacted)
+        return std::nullopt;
+    json::array events;
+    for (const event &each : m_history) {
+        if (each.revision <= after || !each.key.starts_with(prefix))
+            continue;
+        if (each.written)
+            events.emplace_back(describe(each.key, *each.written));
+        else
+            events.emplace_back(json::object {
+                { "key", each.key }, { "revision", each.revision }, { "deleted", true } });
+    }
+    return json::object { { "events", std::move(events) }, { "store_revision", m_revision } };
+}
+
+std::pair<unsigned, json::object> platform_store_state::transact(const json::object &body)
+{
+    for (const json::value &each : body.at("expected_revision").as_array()) {
+        const json::object &condition = each.as_object();
+        const auto found = m_items.find(textOf(condition, "key"));
+        const std::int64_t actual = found == m_items.end() ? 0 : found->second.revision;
+        if (actual != condition.at("revision").to_number<std::int64_t>())
+            return { status_condition_failed, { { "items", json::array() } } };
+    }
+    for (const json::value &each : body.at("puts").as_array()) {
+        const auto lease = each.as_object().at("lease").to_number<std::int64_t>();
+        if (lease != 0 && !m_leases.contains(lease))
+            return { status_not_found, {} };
+    }
+    for (const json::value &each : body.at("puts").as_array()) {
+        const json::object &write = each.as_object();
+        put(textOf(write, "key"), fromBase64(textOf(write, "value")),
+            write.at("lease").to_number<std::int64_t>());
+    }
+    for (const json::value &each : body.at("deletes").as_array())
+        remove(std::string(each.as_string()));
+    return { status_ok, { { "revision", m_revision } } };
+}
+
+std::int64_t platform_store_state::grantLease(duration timeToLive, time_point now)
+{
+    m_leases[++m_lastLease] = { timeToLive, now + timeToLive };
+    return m_lastLease;
+}
+
+std::optional<duration> platform_store_state::renew(std::int64_t lease, time_point now)
+{
+    const auto found = m_leases.find(lease);
+    if (found == m_leases.end())
+        return std::nullopt;
+    found->second.ends = now + found->second.timeToLive;
+    return found->second.timeToLive;
+}
+
+bool platform_store_state::endLease(std::int64_t lease)
+{
+    std::vector<std::string> keys;
+    for (const auto &[key, each] : m_items) {
+        if (each.lease == lease)
+            keys.push_back(key);
+    }
+    for (const std::string &key : keys)
+        remove(key);
+    return m_leases.erase(lease) > 0;
+}
+
+bool platform_store_state::endLeases(time_point now)
+{
+    std::vector<std::int64_t> ended;
+    for (const auto &[lease, state] : m_leases) {
+        if (state.ends <= now)
+            ended.push_back(lease);
+    }
+    for (const std::int64_t lease : ended)
+        endLease(lease);
+    return !ended.empty();
+}
+
+void platform_store_state::put(const std::string &key, const std::string &value, std::int64_t lease)
+{
+    item &each = m_items[key];
+    each.value = value;
+    each.revision = ++m_revision;
+    each.created = each.created == 0 ? m_revision : each.created;
+    each.lease = lease;
+    m_history.push_back({ key, each, m_revision });
+}
+
+void platform_store_state::remove(const std::string &key)
+{
+    if (m_items.erase(key) > 0)
+        m_history.push_back({ key, std::nullopt, ++m_revision });
+}
+
+std::optional<std::string> platform_store_state::value(const std::string &key) const
+{
+    const auto found = m_items.find(key);
+    if (found == m_items.end())
+        return std::nullopt;
+    return found->second.value;
+}
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/testing/platform_stand_in/small_node.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/http/http_server.h"
+#include "gooseberrymoor/tier/query_tier.h"
+#include "platform/caller_wire.h"
+#include "platform/catalog_wire.h"
+#include "platform/directory_wire.h"
+#include "platform/leaf_wire.h"
+#include "platform/platform_settings.h"
+#include "platform/platform_store.h"
+#include "testing/platform_stand_in/small_site.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+
+namespace gooseberrymoor {
+
+// One node of a `small_site`, with an executor of its own. Destroying it ends it without a word.
+class small_node
+{
+public:
+    explicit small_node(const platform::platform_settings &settings);
+
+    void stop();
+    bool hasStopped() const { return m_stopped; }
+    void poll() { m_context->poll(); }
+
+    query_tier &tier() { return *m_parts->tier; }
+    const platform::platform_settings &settings() const { return m_settings; }
+    counters &events() { return m_events; }
+    remembering_log &log() { return m_log; }
+
+private:
+    struct parts;
+
+    platform::platform_settings m_settings;
+    counters m_events;
+    remembering_log m_log;
+    platform::catalog_wire m_catalog;
+    platform::leaf_wire m_leafs;
+    std::unique_ptr<asio::io_context> m_context;
+    bool m_stopped = false;
+
+    struct parts
+    {
+        std::unique_ptr<platform::platform_store> store;
+        std::unique_ptr<query_tier> tier;
+        std::unique_ptr<platform::caller_wire> callerWire;
+        std::unique_ptr<platform::directory_wire> directoryWire;
+        std::unique_ptr<http_server> callers;
+        std::unique_ptr<http_server> directory;
+    };
+    std::unique_ptr<parts> m_parts;
+};
+
+} // namespace gooseberrymoor
--- /dev/null
+++ b/testing/platform_stand_in/small_site.cpp
@@ -0,0 +1,220 @@
+#include "small_site.h"
+
+#include "gooseberrymoor/http/http_connection.h"
+#include "platform/wire_names.h"
+#include "small_node.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/json.hpp>
+#include <unistd.h>
+
+#include <stdexcept>
+#include <thread>
+
+namespace gooseberrymoor {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t most_body_bytes = 64 * 1024;
+constexpr duration longest_run { 15'000 };
+constexpr std::uint16_t store_port = 24000;
+constexpr std::uint16_t first_leaf_port = 24010;
+constexpr std::uint16_t caller_port = 24100;
+constexpr std::uint16_t directory_port = 24101;
+constexpr std::uint16_t peer_port = 24102;
+constexpr int first_node_host = 10;
+constexpr duration stop_time { 1200 };
+
+json::object routeOf(const std::string &name, const std::string &prefix, const std::string &kind)
+{
+    return { { "name", name },  { "host", "a.example" }, { "path_prefix", prefix },
+             { "kind", kind },  { "timeout_ms", 2000 },  { "target_latency_ms", 400 },
+             { "priority", 1 }, { "max_attempts", 2 } };
+}
+
+std::string configurationText(int version, const std::string &extra)
+{
+    json::object sweep = routeOf("sweep", "/sweep/", "safe");
+    sweep["gather"] = { "s1", "s2" };
+    sweep["top_k"] = 2;
+    sweep["minimum_success_share"] = 0.5;
+    json::object get = routeOf("get", "/get/", "safe");
+    get["service"] = "single";
+    json::object post = routeOf("post", "/post/", "unsafe");
+    post["service"] = "single";
+    json::array routes { sweep, get, post };
+    if (!extra.empty()) {
+        json::object added = routeOf("extra", extra, "safe");
+        added["service"] = "single";
+        routes.push_back(added);
+    }
+    json::array services;
+    for (const char *name : { "s1", "s2", "single" })
+        services.push_back({ { "name", name }, { "connection_limit", 30 } });
+    const json::object body { { "version", version },
+                              { "routes", std::move(routes) },
+                              { "services", std::move(services) } };
+    return json::serialize(body);
+}
+
+} // namespace
+
+small_site::small_site(int zones)
+{
+    const unsigned process = static_cast<unsigned>(getpid());
+    m_network = "127." + std::to_string(1 + process / 250 % 250) + "."
+        + std::to_string(1 + process % 250) + ".";
+    m_store = std::make_unique<platform_store_stand_in>(m_context.get_executor());
+    m_storeServer = std::make_unique<http_server>(m_context.get_executor(), *m_store, m_events,
+                                                  most_body_bytes);
+    if (const auto started = m_storeServer->start({ m_network + "1", store_port }); !started)
+        throw std::runtime_error(started.error());
+    const std::string low(16, 'a');
+    const std::string high(16, 'z');
+    for (int zone = 0; zone < zones; ++zone) {
+        addLeaf("s1", zone, low + low);
+        addLeaf("s2", zone, high);
+        addLeaf("single", zone, "single");
+    }
+}
+
+small_site::~small_site() = default;
+
+void small_site::addLeaf(const std::string &service, int zone, const std::string &body)
+{
+    const std::string zoneName(1, static_cast<char>('a' + zone));
+    const auto port = static_cast<std::uint16_t>(first_leaf_port + m_leafs.size());
+    auto leaf = std::make_unique<leaf_stand_in>(service + "-" + zoneName, service,
+                                                endpoint { m_network + "1", port }, zoneName, body);
+    auto server
+        = std::make_unique<http_server>(m_context.get_executor(), *leaf, m_events, most_body_bytes);
+    if (const auto started = server->start(leaf->address()); !started)
+        throw std::runtime_error(started.error());
+    write(*leaf);
+    m_leafs.push_back(std::move(leaf));
+    m_leafServers.push_back(std::move(server));
+}
+
+void small_site::write(const leaf_stand_in &leaf, const std::string &state)
+{
+    m_store->put(platform::replica_prefix + leaf.id(), leaf.entry(state));
+}
+
+leaf_stand_in &small_site::leaf(const std::string &id)
+{
+    for (const auto &each : m_leafs) {
+        if (each->id() == id)
+            return *each;
+    }
+    throw std::out_of_range(id);
+}
+
+void small_site::startNode(int index)
+{
+    const std::string address = m_network + std::to_string(first_node_host + index);
+    platform::platform_settings settings;
+    settings.tier.own.name = "node-" + std::to_string(index);
+    settings.tier.own.incarnation = 1;
+    settings.tier.own.availabilityZone = std::string(1, static_cast<char>('a' + index % 2));
+    settings.tier.own.callerAddress = { address, caller_port };
+    settings.tier.own.peerAddress = { address, peer_port };
+    settings.tier.fleetPrefix = platform::fleet_prefix;
+    settings.tier.repeats = { 0.2, 60, duration(10'000) };
+    settings.tier.stopTime = stop_time;
+    settings.callerAddress = settings.tier.own.callerAddress;
+    settings.directoryAddress = { address, directory_port };
+    settings.storeAddress = { m_network + "1", store_port };
+    m_nodes[index] = std::make_unique<small_node>(settings);
+}
+
+void small_site::killNode(int index)
+{
+    m_nodes.erase(index);
+}
+
+void small_site::stopNode(int index)
+{
+    node(index).stop();
+}
+
+bool small_site::hasStopped(int index) const
+{
+    return m_nodes.at(index)->hasStopped();
+}
+
+small_node &small_site::node(int index)
+{
+    return *m_nodes.at(index);
+}
+
+void small_site::pollAll()
+{
+    m_context.poll();
+    for (auto &[index, each] : m_nodes)
+        each->poll();
+    std::this_thread::sleep_for(std::chrono::microseconds(200));
+}
+
+bool small_site::runUntil(const std::function<bool()> &condition)
+{
+    const time_point limit = millis_clock::now() + longest_run;
+    while (!condition()) {
+        if (millis_clock::now() >= limit)
+            return false;
+        pollAll();
+    }
+    return true;
+}
+
+void small_site::runFor(duration time)
+{
+    const time_point until = millis_clock::now() + time;
+    runUntil([until] { return millis_clock::now() >= until; });
+}
+
+http_reply small_site::ask(int index, const std::string &method, const std::string &path,
+                           const std::string &attemptId, int deadlineMs)
+{
+    http_request request(method, path);
+    request.host = "a.example";
+    request.headers = { { platform::attempt_id_field, attemptId },
+                        { platform::deadline_field, std::to_string(deadlineMs) } };
+    http_reply reply(0, "");
+    bool done = false;
+    const endpoint address { m_network + std::to_string(first_node_host + index), caller_port };
+    const time_point limit = millis_clock::now() + duration(deadlineMs + 1000);
+    asio::co_spawn(m_context, exchangeOnce(address, std::move(request), limit),
+                   [&](std::exception_ptr, tl::expected<http_reply, http_failure> result) {
+                       if (result)
+                           reply = std::move(*result);
+                       done = true;
+                   });
+    runUntil([&done] { return done; });
+    return reply;
+}
+
+std::string small_site::directory(int index)
+{
+    http_request request("GET", "/resolution?name=a.example&region=r&zone=a");
+    const endpoint address { m_network + std::to_string(first_node_host + index), directory_port };
+    std::string body;
+    bool done = false;
+    asio::co_spawn(m_context,
+                   exchangeOnce(address, std::move(request), millis_clock::now() + longest_run),
+                   [&](std::exception_ptr, tl::expected<http_reply, http_failure> result) {
+                       if (result)
+                           body = std::move(result->body);
+                       done = true;
+                   });
+    runUntil([&done] { return done; });
+    return body;
+}
+
+void small_site::configure(int version, const std::string &extra)
+{
+    m_store->put(platform::configuration_key, configurationText(version, extra));
+}
+
+} // namespace gooseberrymoor
