Skip calls that nobody waits for any more, by priority; log late answers; cost of a zone from the fastest target

Change: withdraw, priorities of waiting calls, share of connections counted at once, fastest target as the measure; request_ended names what it waited for.

--- a/gooseberrymoor/base/request_error.h
+++ b/gooseberrymoor/base/request_error.h
@@ -13,6 +13,7 @@
     bad_request,
     too_large,
     header_too_large,
+    request_too_slow,
     unknown_service,
     unknown_shard,
     deadline_passed,
@@ -32,12 +33,13 @@
     not_ready,
 };
 
-constexpr name_table<error_kind, 21> names(error_kind)
+constexpr name_table<error_kind, 22> names(error_kind)
 {
     return { { { error_kind::none, "none" },
                { error_kind::bad_request, "bad_request" },
                { error_kind::too_large, "too_large" },
                { error_kind::header_too_large, "header_too_large" },
+               { error_kind::request_too_slow, "request_too_slow" },
                { error_kind::unknown_service, "unknown_service" },
                { error_kind::unknown_shard, "unknown_shard" },
                { error_kind::deadline_passed, "deadline_passed" },
--- a/gooseberrymoor/forward/forwarder.cpp
+++ b/gooseberrymoor/forward/forwarder.cpp
@@ -21,6 +21,7 @@
 
 constexpr double usual_quantile = 0.95;
 constexpr double enough_answers = 20; // until the quantile says something
+constexpr std::size_t most_named = 4; // calls in a line of the log
 constexpr duration first_retry_after { 100 };
 constexpr int retry_after_part = 6; // of the time that the caller has left
 
@@ -52,6 +53,26 @@
     std::map<std::uint64_t, std::shared_ptr<leaf_call>> calls; // under way, by attempt
     recent_latency *latency = nullptr;
     std::map<std::uint64_t, time_point> sentAt;
+    duration targetLatency { 0 };
+    int priority = 0;
+    std::string slowestService; // of the answered shards
+    std::string slowestTarget;
+    duration slowestTime { 0 };
+
+    // The first few calls that are still under way, as "service@target".
+    std::string waitingFor() const
+    {
+        std::string text;
+        std::size_t named = 0;
+        for (const auto &[attempt, call] : calls) {
+            if (answers[call->shard] || named == most_named)
+                continue;
+            ++named;
+            text
+                += (text.empty() ? "" : ",") + services[call->shard] + "@" + call->target->entry.id;
+        }
+        return text;
+    }
 };
 
 forwarder::forwarder(asio::any_io_executor executor, forward_parts parts)
@@ -65,6 +86,8 @@
     active_run active(request, planFor(*request, *route), m_parts.selector, m_parts.budget,
                       m_executor);
     active.latency = &m_latencies[route->name];
+    active.targetLatency = route->targetLatency;
+    active.priority = route->priority;
     ++m_running;
     bool callerLeft = false;
     if (request->abandoned) {
@@ -89,9 +112,11 @@
     forward_result result;
     if (callerLeft) {
         for (auto &[attempt, call] : active.calls)
-            m_parts.pool.abandon(*call);
+            m_parts.pool.abandon(call);
         result.status = forward_status::abandoned;
     } else {
+        for (auto &[attempt, call] : active.calls)
+            m_parts.pool.withdraw(call);
         result = resultOf(active, *route);
     }
     logOutcome(active, result);
@@ -127,6 +152,7 @@
         call->shard = each.shard;
         call->attempt = each.attempt;
         call->deadline = active.deadline;
+        call->priority = active.priority;
         active.calls[each.attempt] = call;
         active.sentAt[each.attempt] = millis_clock::now();
         if (each.reason != send_reason::first) {
@@ -151,9 +177,7 @@
         const replica_ending ending = ended.answer.ending;
         if (ending == replica_ending::answered) {
             active.latency->record(now - active.sentAt[ended.attempt]);
-            auto &answer = active.answers[ended.shard];
-            if (!answer)
-                answer = std::move(ended.answer);
+            takeAnswer(active, std::move(ended));
         } else {
             m_parts.log.write("attempt_failed",
                               { { "request", active.request->attemptId },
@@ -166,6 +190,17 @@
     }
 }
 
+void forwarder::takeAnswer(active_run &active, leaf_ended ended)
+{
+    auto &answer = active.answers[ended.shard];
+    if (answer)
+        return;
+    answer = std::move(ended.answer);
+    active.slowestTime = millis_clock::now() - active.request->arrived;
+    active.slowestService = active.services[ended.shard];
+    active.slowestTarget = std::move(ended.target);
+}
+
 forward_result forwarder::resultOf(active_run &active, const route &route)
 {
     forward_result result;
@@ -210,15 +245,19 @@
     m_parts.events.add("forward_" + std::string(nameOf(result.status)));
     const bool isWhole = result.status == forward_status::passed_through
         || (result.status == forward_status::merged && result.missingParts == 0);
-    if (isWhole)
-        return;
     const duration taken = millis_clock::now() - active.request->arrived;
+    if (isWhole && taken <= active.targetLatency)
+        return;
     m_parts.log.write("request_ended",
                       { { "request", active.request->attemptId },
                         { "outcome", std::string(nameOf(result.status)) },
                         { "missing_parts", std::to_string(result.missingParts) },
                         { "sent", std::to_string(active.run.sent()) },
-                        { "taken_ms", toText(taken) } });
+                        { "taken_ms", toText(taken) },
+                        { "target_latency_ms", toText(active.targetLatency) },
+                        { "slowest", active.slowestService + "@" + active.slowestTarget },
+                        { "slowest_ms", toText(active.slowestTime) },
+                        { "waiting_for", active.waitingFor() } });
 }
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/forward/forwarder.h
+++ b/gooseberrymoor/forward/forwarder.h
@@ -21,7 +21,7 @@
 class replica_selector;
 class request_run;
 struct caller_request;
-struct leaf_answer;
+struct leaf_ended;
 struct route;
 struct run_send;
 
@@ -56,6 +56,7 @@
     run_plan planFor(const caller_request &request, const route &route);
     void sendAll(active_run &active, const std::vector<run_send> &sends);
     void takeEndings(active_run &active);
+    void takeAnswer(active_run &active, leaf_ended ended);
     forward_result resultOf(active_run &active, const route &route);
     void logOutcome(const active_run &active, const forward_result &result);
 
--- a/gooseberrymoor/forward/leaf_call.h
+++ b/gooseberrymoor/forward/leaf_call.h
@@ -22,6 +22,7 @@
     std::uint64_t attempt = 0;
     std::uint64_t ticket = 0; // of the target's health
     time_point deadline {};
+    int priority = 0; // of the route; 0 goes first
     bool abandoned = false; // nobody waits for its answer any more
 };
 
--- a/gooseberrymoor/forward/leaf_inbox_queue.h
+++ b/gooseberrymoor/forward/leaf_inbox_queue.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <string>
 
 namespace gooseberrymoor {
 
@@ -14,6 +15,7 @@
 {
     std::size_t shard = 0;
     std::uint64_t attempt = 0;
+    std::string target; // its id
     leaf_answer answer;
 };
 
--- a/gooseberrymoor/forward/leaf_pool.cpp
+++ b/gooseberrymoor/forward/leaf_pool.cpp
@@ -86,14 +86,38 @@
     connections->waiting.push_back(std::move(call));
 }
 
-void leaf_pool::abandon(leaf_call &call)
+void leaf_pool::withdraw(const std::shared_ptr<leaf_call> &call)
 {
-    call.abandoned = true;
-    const auto found = m_targets.find(call.target.get());
+    const auto found = m_targets.find(call->target.get());
+    if (found == m_targets.end() || std::erase(found->second->waiting, call) == 0)
+        return;
+    leaf_answer answer;
+    answer.ending = replica_ending::abandoned;
+    end(*call, std::move(answer));
+}
+
+// The most urgent of the waiting calls, and of those the one that came first; null if none waits.
+std::shared_ptr<leaf_call> leaf_pool::takeWaiting(target_connections &target)
+{
+    if (target.waiting.empty())
+        return nullptr;
+    const auto chosen = std::min_element(
+        target.waiting.begin(), target.waiting.end(),
+        [](const auto &left, const auto &right) { return left->priority < right->priority; });
+    auto call = std::move(*chosen);
+    target.waiting.erase(chosen);
+    return call;
+}
+
+void leaf_pool::abandon(const std::shared_ptr<leaf_call> &call)
+{
+    withdraw(call);
+    call->abandoned = true;
+    const auto found = m_targets.find(call->target.get());
     if (found == m_targets.end())
         return;
     for (const auto &each : found->second->open) {
-        if (each->current.get() == &call)
+        if (each->current == call)
             each->http.close();
     }
 }
@@ -146,14 +170,16 @@
 
 void leaf_pool::startConnection(const shared_target &target, std::shared_ptr<leaf_call> first)
 {
-    startTask(m_executor, m_events, "leaf_connection", runConnection(target, std::move(first)));
+    const auto connection = std::make_shared<open_connection>(m_executor);
+    target->open.insert(connection); // counts from now on, not from when its task begins
+    startTask(m_executor, m_events, "leaf_connection",
+              runConnection(target, connection, std::move(first)));
 }
 
 asio::awaitable<void> leaf_pool::runConnection(shared_target target,
+                                               std::shared_ptr<open_connection> self,
                                                std::shared_ptr<leaf_call> call)
 {
-    const auto self = std::make_shared<open_connection>(m_executor);
-    target->open.insert(self);
     bool usable = true;
     if (!call)
         usable = co_await connect(self, *target->target, millis_clock::now() + longest_connect);
@@ -168,9 +194,7 @@
     self->http.close();
     target->open.erase(self);
     std::erase(target->idle, self);
-    if (!target->waiting.empty()) {
-        auto waiting = std::move(target->waiting.front());
-        target->waiting.pop_front();
+    if (auto waiting = takeWaiting(*target)) {
         startConnection(target, std::move(waiting));
     } else if (target->open.empty() && target->target->removed) {
         m_targets.erase(target->target.get());
@@ -181,11 +205,8 @@
 asio::awaitable<std::shared_ptr<leaf_call>>
 leaf_pool::nextCall(shared_target target, std::shared_ptr<open_connection> self)
 {
-    if (!target->waiting.empty()) {
-        auto waiting = std::move(target->waiting.front());
-        target->waiting.pop_front();
+    if (auto waiting = takeWaiting(*target))
         co_return waiting;
-    }
     target->idle.push_back(self);
     while (!self->next && !self->closing && millis_clock::now() < self->closeAt)
         co_await self->wake.wait(self->closeAt);
@@ -260,7 +281,7 @@
 {
     call.target->health.onEnded(call.ticket, answer.ending, answer.load, millis_clock::now());
     m_events.add("leaf_calls_" + std::string(nameOf(answer.ending)));
-    call.inbox->put({ call.shard, call.attempt, std::move(answer) });
+    call.inbox->put({ call.shard, call.attempt, call.target->entry.id, std::move(answer) });
 }
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/forward/leaf_pool.h
+++ b/gooseberrymoor/forward/leaf_pool.h
@@ -35,8 +35,12 @@
     // Sends `call`, at once if a connection is free or may be opened, else when one becomes free.
     void send(std::shared_ptr<leaf_call> call);
 
+    // Nobody waits for `call` any more: ends it if it still waits for a connection. One that is
+    // under way goes on, so that its connection can be used again.
+    void withdraw(const std::shared_ptr<leaf_call> &call);
+
     // Nobody waits for `call` any more: ends it, and with it the target's work.
-    void abandon(leaf_call &call);
+    void abandon(const std::shared_ptr<leaf_call> &call);
 
     // Opens a connection to each target of `replicas` that has none, so that requests find one.
     void openAhead(const replica_set &replicas);
@@ -56,13 +60,15 @@
     shared_target connectionsTo(const std::shared_ptr<known_replica> &target);
     unsigned limitOf(const known_replica &target) const;
     void startConnection(const shared_target &target, std::shared_ptr<leaf_call> first);
-    asio::awaitable<void> runConnection(shared_target target, std::shared_ptr<leaf_call> call);
+    asio::awaitable<void> runConnection(shared_target target, std::shared_ptr<open_connection> self,
+                                        std::shared_ptr<leaf_call> call);
     asio::awaitable<std::shared_ptr<leaf_call>> nextCall(shared_target target,
                                                          std::shared_ptr<open_connection> self);
     asio::awaitable<bool> serve(std::shared_ptr<open_connection> self,
                                 std::shared_ptr<leaf_call> call);
     asio::awaitable<bool> connect(std::shared_ptr<open_connection> self, known_replica &target,
                                   time_point deadline);
+    std::shared_ptr<leaf_call> takeWaiting(target_connections &target);
     void end(leaf_call &call, leaf_answer answer);
 
     asio::any_io_executor m_executor;
--- a/gooseberrymoor/forward/repeat_budget.cpp
+++ b/gooseberrymoor/forward/repeat_budget.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr int slices_a_window = 20;
-constexpr double optional_share = 0.5; // of the budget, for repeats that are not needed
 constexpr double margin = 0.9; // of the limit that is used: nodes see members change at other times
 
 } // namespace
@@ -24,15 +23,13 @@
     add(m_usage[service].requests, now);
 }
 
-bool repeat_budget::mayRepeat(const std::string &service, repeat_urgency urgency, time_point now)
+bool repeat_budget::mayRepeat(const std::string &service, time_point now)
 {
     usage &used = m_usage[service];
     forget(used.requests, now);
     forget(used.repeats, now);
     const double slack = m_limits.slack / static_cast<double>(m_nodes);
-    double allowed = margin * (m_limits.ratio * used.requests.total + slack);
-    if (urgency == repeat_urgency::optional)
-        allowed *= optional_share;
+    const double allowed = margin * (m_limits.ratio * used.requests.total + slack);
     return used.repeats.total + 1 <= allowed;
 }
 
--- a/gooseberrymoor/forward/repeat_budget.h
+++ b/gooseberrymoor/forward/repeat_budget.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "gooseberrymoor/base/millis_clock.h"
-#include "gooseberrymoor/forward/repeat_urgency.h"
 
 #include <cstddef>
 #include <deque>
@@ -32,9 +31,8 @@
     // A caller's request for `service` came in.
     void onRequest(const std::string &service, time_point now);
 
-    // Whether one more request may be sent to `service` again. Part of the budget is kept for what
-    // is needed.
-    bool mayRepeat(const std::string &service, repeat_urgency urgency, time_point now);
+    // Whether one more request may be sent to `service` again.
+    bool mayRepeat(const std::string &service, time_point now);
 
     // One was sent again.
     void onRepeated(const std::string &service, time_point now);
--- a/gooseberrymoor/forward/request_run.cpp
+++ b/gooseberrymoor/forward/request_run.cpp
@@ -130,7 +130,7 @@
     shard_state &state = m_shards[shard];
     const std::string &service = m_plan.services[shard];
     const bool isExtra = reason == send_reason::hedge || state.arrived;
-    if (isExtra && !m_budget.mayRepeat(service, urgencyOf(reason), now)) {
+    if (isExtra && !m_budget.mayRepeat(service, now)) {
         state.retryAt = now + retry_pause;
         return;
     }
@@ -154,18 +154,6 @@
     sends.push_back({ shard, attempt, std::move(target), reason });
 }
 
-// A repeat is needed if there is no success without one more of the shards that are silent (for a
-// hedge) or have nothing under way (for a retry).
-repeat_urgency request_run::urgencyOf(send_reason reason) const
-{
-    const auto missing = static_cast<std::size_t>(
-        std::count_if(m_shards.begin(), m_shards.end(), [reason](const shard_state &state) {
-            return !state.answered && (reason == send_reason::hedge || state.outstanding.empty());
-        }));
-    return m_shards.size() - missing < leastShards() ? repeat_urgency::needed
-                                                     : repeat_urgency::optional;
-}
-
 bool request_run::mayRetry(const shard_state &state) const
 {
     if (state.mayHaveRun && m_plan.kind == request_kind::non_idempotent)
--- a/gooseberrymoor/forward/request_run.h
+++ b/gooseberrymoor/forward/request_run.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "gooseberrymoor/forward/repeat_urgency.h"
 #include "gooseberrymoor/forward/run_plan.h"
 #include "gooseberrymoor/forward/run_send.h"
 #include "gooseberrymoor/replica/replica_ending.h"
@@ -71,7 +70,6 @@
     };
 
     void send(std::vector<run_send> &sends, std::size_t shard, send_reason reason, time_point now);
-    repeat_urgency urgencyOf(send_reason reason) const;
     bool mayRetry(const shard_state &state) const;
     bool mayHedge(const shard_state &state) const;
     bool isLost(const shard_state &state) const;
--- a/gooseberrymoor/http/http_server.cpp
+++ b/gooseberrymoor/http/http_server.cpp
@@ -44,6 +44,21 @@
     return message;
 }
 
+// The counter of requests that are refused for `fault`.
+std::string_view counterOf(error_kind fault)
+{
+    switch (fault) {
+    case error_kind::too_large:
+        return "http_too_large";
+    case error_kind::header_too_large:
+        return "http_header_too_large";
+    case error_kind::request_too_slow:
+        return "http_too_slow";
+    default:
+        return "http_malformed";
+    }
+}
+
 // The fields that `message` carries for its receiver, without host and framing.
 http_headers headersOf(const http::request<http::string_body> &message)
 {
@@ -275,7 +290,7 @@
     }
     m_idle.erase(&idle);
     if (late)
-        result.fault = error_kind::timed_out;
+        result.fault = error_kind::request_too_slow;
     else if (error == http::error::body_limit)
         result.fault = error_kind::too_large;
     else if (error == http::error::header_limit)
@@ -301,7 +316,7 @@
         http_reply reply;
         unsigned version = http_version_1_1;
         if (read.fault != error_kind::none) {
-            m_events.add("http_refused_" + std::string(nameOf(read.fault)));
+            m_events.add(counterOf(read.fault));
             reply = m_handler.refuse(read.fault);
             keepAlive = false;
         } else {
--- a/gooseberrymoor/http/http_test.cpp
+++ b/gooseberrymoor/http/http_test.cpp
@@ -9,6 +9,8 @@
 
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
@@ -213,3 +215,63 @@
     client.close();
     context.run_for(duration(50));
 }
+
+namespace {
+
+// Sends `bytes` as they are and returns what comes back until the server closes.
+asio::awaitable<std::string> sendRaw(std::string bytes)
+{
+    asio::ip::tcp::socket socket(co_await asio::this_coro::executor);
+    const asio::ip::tcp::endpoint address(asio::ip::make_address(server_address.address),
+                                          server_address.port);
+    co_await socket.async_connect(address, as_result);
+    co_await asio::async_write(socket, asio::buffer(bytes), as_result);
+    std::string received;
+    co_await asio::async_read(socket, asio::dynamic_buffer(received), as_result);
+    co_return received;
+}
+
+} // namespace
+
+TEST_CASE("A server bounds what clients send")
+{
+    running_server server;
+    http_limits limits;
+    limits.headerBytes = 1024;
+    limits.bodyBytes = small_body;
+    limits.headerTimeout = duration(150);
+    limits.idleTimeout = duration(150);
+    server.server.setLimits(limits);
+    std::string received;
+    const auto sendAndClose = [&](const std::string &bytes) {
+        server.run([](std::string text, std::string &result) -> asio::awaitable<void> {
+            result = co_await sendRaw(std::move(text));
+        }(bytes, received));
+    };
+
+    SUBCASE("a header that is too large gets 431, and the connection closes")
+    {
+        sendAndClose("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(2000, 'x') + "\r\n\r\n");
+        CHECK(received.starts_with("HTTP/1.1 431"));
+    }
+    SUBCASE("a request that takes too long to arrive gets 408")
+    {
+        sendAndClose("GET / HTTP/1.1\r\nHost: a\r\n");
+        CHECK(received.starts_with("HTTP/1.1 408"));
+    }
+    SUBCASE("what is no HTTP gets 400")
+    {
+        sendAndClose("nonsense\r\n\r\n");
+        CHECK(received.starts_with("HTTP/1.1 400"));
+    }
+    SUBCASE("a connection on which nothing comes is closed without a word")
+    {
+        sendAndClose("");
+        CHECK(received.empty());
+    }
+    SUBCASE("a good request passes, with its headers and host")
+    {
+        sendAndClose("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        CHECK(received.starts_with("HTTP/1.1 200"));
+    }
+}
--- a/gooseberrymoor/http/refusal.cpp
+++ b/gooseberrymoor/http/refusal.cpp
@@ -18,6 +18,8 @@
         return 413;
     case error_kind::header_too_large:
         return 431;
+    case error_kind::request_too_slow:
+        return 408;
     case error_kind::deadline_passed:
     case error_kind::timed_out:
         return 504;
--- a/gooseberrymoor/replica/expected_wait_selector.cpp
+++ b/gooseberrymoor/replica/expected_wait_selector.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <vector>
 
 namespace gooseberrymoor {
 
@@ -53,20 +52,16 @@
     return best;
 }
 
-// The median over the service's targets.
+// Of the service's fastest target: most of the others may be slow at the same time.
 double expected_wait_selector::typicalLatencyMs(const std::string &service) const
 {
-    std::vector<double> latencies;
+    double fastest = 0;
     for (const auto &each : m_replicas.of(service)) {
         const double latency = each->health.averageLatencyMs();
-        if (latency > 0)
-            latencies.push_back(latency);
+        if (latency > 0 && (fastest == 0 || latency < fastest))
+            fastest = latency;
     }
-    if (latencies.empty())
-        return unknown_latency_ms;
-    const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>((latencies.size() - 1) / 2);
-    std::nth_element(latencies.begin(), middle, latencies.end());
-    return *middle;
+    return fastest == 0 ? unknown_latency_ms : fastest;
 }
 
 double expected_wait_selector::expectedWaitMs(const known_replica &target, double typicalMs,
--- a/gooseberrymoor/replica/replica_test.cpp
+++ b/gooseberrymoor/replica/replica_test.cpp
@@ -69,6 +69,12 @@
         for (int i = 0; i < answers_to_learn; ++i)
             answerIn(*own, duration(160), start);
         CHECK(site.choose() != "r-a");
+        SUBCASE("even when most of the others are as slow")
+        {
+            for (int i = 0; i < answers_to_learn; ++i)
+                answerIn(*site.replicas.find("r-b"), duration(160), start);
+            CHECK(site.choose() == "r-c");
+        }
         SUBCASE("and comes back to it once what it saw there is old")
         {
             CHECK(site.choose(start + duration(20'000)) == "r-a");
