--- a/gooseberrymoor/forward/forward_timing.cpp
+++ b/gooseberrymoor/forward/forward_timing.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr duration way_back { 8 }; // request and answer between caller and node
+constexpr duration way_back { 12 }; // request and answer between caller and node
 constexpr duration connection_set_up { 7 }; // before the first request of a connection
 constexpr duration shortest_hedge { 5 };
 constexpr double earliest_hedge = 0.2; // of the target latency
--- a/gooseberrymoor/forward/forwarder.cpp
+++ b/gooseberrymoor/forward/forwarder.cpp
@@ -176,7 +176,9 @@
         const time_point now = millis_clock::now();
         const replica_ending ending = ended.answer.ending;
         if (ending == replica_ending::answered) {
-            active.latency->record(now - active.sentAt[ended.attempt]);
+            const duration taken = now - active.sentAt[ended.attempt];
+            active.latency->record(taken);
+            m_targetTimes.record(taken);
             takeAnswer(active, std::move(ended));
         } else {
             m_parts.log.write("attempt_failed",
@@ -246,6 +248,7 @@
     const bool isWhole = result.status == forward_status::passed_through
         || (result.status == forward_status::merged && result.missingParts == 0);
     const duration taken = millis_clock::now() - active.request->arrived;
+    m_requestTimes.record(taken);
     if (isWhole && taken <= active.targetLatency)
         return;
     m_parts.log.write("request_ended",
--- a/gooseberrymoor/forward/forwarder.h
+++ b/gooseberrymoor/forward/forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gooseberrymoor/base/latency_histogram.h"
 #include "gooseberrymoor/base/net.h"
 #include "gooseberrymoor/base/recent_latency.h"
 #include "gooseberrymoor/forward/forward_result.h"
@@ -50,6 +51,10 @@
     // Requests under way.
     std::size_t running() const { return m_running; }
 
+    // How long callers' requests and targets' answers took since the start.
+    const latency_histogram &requestLatencies() const { return m_requestTimes; }
+    const latency_histogram &targetLatencies() const { return m_targetTimes; }
+
 private:
     struct active_run; // the calls and answers of one request
 
@@ -64,6 +69,8 @@
     forward_parts m_parts;
     split_choice m_split;
     std::map<std::string, recent_latency> m_latencies; // of targets' answers, by route
+    latency_histogram m_requestTimes;
+    latency_histogram m_targetTimes;
     std::size_t m_running = 0;
 };
 
--- a/gooseberrymoor/forward/request_run.cpp
+++ b/gooseberrymoor/forward/request_run.cpp
@@ -132,8 +132,10 @@
     const bool isExtra = reason == send_reason::hedge || state.arrived;
     if (isExtra && !m_budget.mayRepeat(service, now)) {
         state.retryAt = now + retry_pause;
+        state.denied = true;
         return;
     }
+    state.denied = false;
     auto target = m_selector.choose(service, state.tried, now);
     if (!target && reason == send_reason::retry && !state.mayHaveRun) {
         state.tried.clear(); // all have refused: begin again after a pause
@@ -172,6 +174,8 @@
 {
     if (state.answered || !state.outstanding.empty())
         return false;
+    if (state.denied && state.mayHaveRun)
+        return true; // the budget won't be better within the caller's time
     return !mayRetry(state) || state.runs + state.refusals == 0;
 }
 
--- a/gooseberrymoor/forward/request_run.h
+++ b/gooseberrymoor/forward/request_run.h
@@ -64,6 +64,7 @@
         unsigned refusals = 0; // sends that surely did not run
         bool answered = false;
         bool mayHaveRun = false; // an attempt that ended may have run
+        bool denied = false; // the budget had nothing for its last repeat
         bool arrived = false; // the first request for it may have reached a target
         time_point lastSent {};
         time_point retryAt {}; // when a target is sought again
--- a/gooseberrymoor/forward/request_run_test.cpp
+++ b/gooseberrymoor/forward/request_run_test.cpp
@@ -177,6 +177,25 @@
     }
 }
 
+TEST_CASE("A shard whose target lost the answer while the budget is used up")
+{
+    scripted_selector selector;
+    selector.targets["s0"] = 3;
+    repeat_budget none { { 0, 0, duration(10'000) } };
+    run_plan plan = shardedPlan(1);
+    plan.leastShare = 1;
+    request_run run(plan, selector, none);
+    const auto first = run.start(start);
+    REQUIRE(first.size() == 1);
+    CHECK(run.onEnding(0, first[0].attempt, replica_ending::lost, start + duration(2)).empty());
+    SUBCASE("is given up at once, while the caller still has the time to come back")
+    {
+        CHECK(run.isComplete(start + duration(2)));
+        CHECK(!run.isSuccess());
+        CHECK(!run.hasSurelyNotRun());
+    }
+}
+
 TEST_CASE("A request that must not run twice")
 {
     fixture site;
--- a/gooseberrymoor/replica/expected_wait_selector.cpp
+++ b/gooseberrymoor/replica/expected_wait_selector.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr double unknown_latency_ms = 20;
-constexpr double other_zone_cost = 1.5; // in typical latencies
+constexpr double other_zone_cost = 2.5; // in typical latencies
 constexpr double failure_cost_ms = 150; // of a request that has to be sent again
 constexpr double overdue_factor = 3; // times the typical latency
 constexpr double overdue_slack_ms = 8;
--- a/gooseberrymoor/tier/query_tier.h
+++ b/gooseberrymoor/tier/query_tier.h
@@ -68,6 +68,8 @@
     bool isCurrent() const { return m_operatorFollower.isCurrent(millis_clock::now()); }
 
     forwarder &requests() { return m_forwarder; }
+    const forwarder &requests() const { return m_forwarder; }
+    const leaf_pool &connections() const { return m_pool; }
     const fleet_view &fleet() const { return m_fleet; }
     const replica_set &replicas() const { return m_replicas; }
     const tier_settings &settings() const { return m_settings; }
