--- a/gooseberrymoor/forward/forwarder.cpp
+++ b/gooseberrymoor/forward/forwarder.cpp
@@ -175,8 +175,10 @@
         active.calls.erase(ended.attempt);
         const time_point now = millis_clock::now();
         const replica_ending ending = ended.answer.ending;
+        const std::size_t shard = ended.shard;
+        const std::uint64_t attempt = ended.attempt;
         if (ending == replica_ending::answered) {
-            const duration taken = now - active.sentAt[ended.attempt];
+            const duration taken = now - active.sentAt[attempt];
             active.latency->record(taken);
             m_targetTimes.record(taken);
             takeAnswer(active, std::move(ended));
@@ -188,7 +190,7 @@
             if (ending == replica_ending::failed)
                 active.lastFailure = std::move(ended.answer);
         }
-        sendAll(active, active.run.onEnding(ended.shard, ended.attempt, ending, now));
+        sendAll(active, active.run.onEnding(shard, attempt, ending, now));
     }
 }
 
--- a/gooseberrymoor/logging/logging_test.cpp
+++ b/gooseberrymoor/logging/logging_test.cpp
@@ -73,14 +73,14 @@
     logger.addAppender(shared);
 
     const std::string line(200, 'x');
-    constexpr int more_than_a_pipe_holds = 2000;
-    for (int i = 0; i < more_than_a_pipe_holds; ++i)
+    constexpr int moreThanAPipeHolds = 2000;
+    for (int i = 0; i < moreThanAPipeHolds; ++i)
         LOG4CPLUS_INFO(logger, line);
 
     SUBCASE("lines for which there is no room are dropped and counted")
     {
         CHECK(appender->dropped() > 0);
-        CHECK(appender->dropped() < more_than_a_pipe_holds);
+        CHECK(appender->dropped() < moreThanAPipeHolds);
         SUBCASE("and the count is told once there is room again")
         {
             std::string received(1'000'000, '\0');
--- a/gooseberrymoor/tier/metrics_page.cpp
+++ b/gooseberrymoor/tier/metrics_page.cpp
@@ -49,7 +49,7 @@
         appendType(page, name, "counter");
         page += name + " " + std::to_string(value) + "\n";
     }
-    const auto routes = tier.routes();
+    const auto &routes = tier.routes();
     appendGauge(page, "configuration_version", routes ? routes->configuration().version : 0);
     appendGauge(page, "live_nodes", static_cast<std::int64_t>(tier.fleet().size()));
     appendGauge(page, "known_targets", static_cast<std::int64_t>(tier.replicas().all().size()));
