Split base64, the watches of a socket, and the steps of a call to a target

Cause: read through as a newcomer: one class a header, short functions, no use of etcd's codec by the platform's store; connections to targets that are gone stayed until they were idle for 20 s. Change: no other change of behaviour; leaf_pool_test has the case of a target that is gone.

--- a/gooseberrymoor/forward/leaf_pool.cpp
+++ b/gooseberrymoor/forward/leaf_pool.cpp
@@ -6,6 +6,7 @@
 #include "gooseberrymoor/forward/leaf_inbox_queue.h"
 #include "gooseberrymoor/forward/leaf_protocol.h"
 #include "gooseberrymoor/http/http_connection.h"
+#include "gooseberrymoor/http/http_failure.h"
 #include "gooseberrymoor/replica/replica_set.h"
 #include "gooseberrymoor/routing/routing_configuration.h"
 
@@ -21,9 +22,18 @@
 constexpr unsigned kept_free = 2;
 constexpr duration longest_connect { 400 };
 constexpr duration longest_idle { 20'000 };
+constexpr int millis_per_second = 1000;
 constexpr duration idle_margin { 600 }; // before the target closes an idle connection
 constexpr duration own_ending_margin { 60 }; // for a target's own answer at its deadline
 
+// How long an idle connection is kept after `reply`.
+duration idleTimeOf(const http_reply &reply)
+{
+    if (reply.idleSeconds <= 0)
+        return longest_idle;
+    return std::min(longest_idle, duration(reply.idleSeconds * millis_per_second) - idle_margin);
+}
+
 } // namespace
 
 struct leaf_pool::open_connection
@@ -124,6 +134,7 @@
 
 void leaf_pool::openAhead(const replica_set &replicas)
 {
+    forgetRemoved();
     for (const auto &[id, target] : replicas.all()) {
         if (!replicas.mayReceive(*target))
             continue;
@@ -135,12 +146,30 @@
 
 void leaf_pool::closeIdle()
 {
-    for (auto &[key, connections] : m_targets) {
-        for (const auto &each : connections->idle) {
-            each->closing = true;
-            each->wake.notify();
-        }
-        connections->idle.clear();
+    for (auto &[key, connections] : m_targets)
+        closeIdle(*connections);
+}
+
+void leaf_pool::closeIdle(target_connections &target)
+{
+    for (const auto &each : target.idle) {
+        each->closing = true;
+        each->wake.notify();
+    }
+    target.idle.clear();
+}
+
+// Targets that are gone keep a connection only while it carries a call.
+void leaf_pool::forgetRemoved()
+{
+    for (auto each = m_targets.begin(); each != m_targets.end();) {
+        target_connections &connections = *each->second;
+        if (connections.target->removed)
+            closeIdle(connections);
+        if (connections.target->removed && connections.open.empty())
+            each = m_targets.erase(each);
+        else
+            ++each;
     }
 }
 
@@ -194,11 +223,8 @@
     self->http.close();
     target->open.erase(self);
     std::erase(target->idle, self);
-    if (auto waiting = takeWaiting(*target)) {
+    if (auto waiting = takeWaiting(*target))
         startConnection(target, std::move(waiting));
-    } else if (target->open.empty() && target->target->removed) {
-        m_targets.erase(target->target.get());
-    }
 }
 
 // The next call for an open connection; null once it is to be closed.
@@ -218,52 +244,63 @@
 asio::awaitable<bool> leaf_pool::serve(std::shared_ptr<open_connection> self,
                                        std::shared_ptr<leaf_call> call)
 {
-    leaf_answer answer;
     if (call->abandoned || millis_clock::now() >= call->deadline) {
-        answer.ending = call->abandoned ? replica_ending::abandoned : replica_ending::unreachable;
-        end(*call, std::move(answer));
+        endUnsent(*call);
         co_return self->http.isOpen();
     }
     self->current = call;
-    if (!self->http.isUsable()) {
-        self->http.close();
-        const time_point limit = std::min(call->deadline, millis_clock::now() + longest_connect);
-        const bool connected = co_await connect(self, *call->target, limit);
-        if (!connected || call->abandoned) {
-            self->current.reset();
-            answer.ending
-                = call->abandoned ? replica_ending::abandoned : replica_ending::unreachable;
-            end(*call, std::move(answer));
-            co_return false;
-        }
+    const bool connected = co_await makeUsable(self, *call);
+    if (!connected || call->abandoned) {
+        self->current.reset();
+        endUnsent(*call);
+        co_return false;
     }
     const duration left = call->deadline - millis_clock::now();
     http_request message = m_protocol.encode(*call->request, call->target->entry, left);
-    auto reply
-        = co_await self->http.exchange(std::move(message), call->deadline + own_ending_margin);
+    const time_point limit = call->deadline + own_ending_margin;
+    auto reply = co_await self->http.exchange(std::move(message), limit);
     self->current.reset();
-    if (reply) {
-        const int idleSeconds = reply->idleSeconds;
-        const bool keep = !reply->closeAfter && !reply->surplusBytes;
-        answer = m_protocol.decode(std::move(*reply), call->request->attemptId);
-        if (answer.isForeign) {
-            m_events.add("leaf_foreign_replies");
-            self->http.close();
-        }
-        const duration idle
-            = idleSeconds > 0 ? duration(idleSeconds * 1000) - idle_margin : longest_idle;
-        self->closeAt = millis_clock::now() + std::min(idle, longest_idle);
-        end(*call, std::move(answer));
-        co_return keep && self->http.isOpen();
+    if (!reply) {
+        endWithout(*call, reply.error());
+        co_return false;
     }
-    if (call->abandoned)
+    self->closeAt = millis_clock::now() + idleTimeOf(*reply);
+    const bool keep = !reply->closeAfter && !reply->surplusBytes;
+    leaf_answer answer = m_protocol.decode(std::move(*reply), call->request->attemptId);
+    const bool isForeign = answer.isForeign;
+    if (isForeign)
+        m_events.add("leaf_foreign_replies");
+    end(*call, std::move(answer));
+    co_return keep && !isForeign && self->http.isOpen();
+}
+
+// Opens the connection anew if the target has closed it meanwhile.
+asio::awaitable<bool> leaf_pool::makeUsable(std::shared_ptr<open_connection> self, leaf_call &call)
+{
+    if (self->http.isUsable())
+        co_return true;
+    self->http.close();
+    const time_point limit = std::min(call.deadline, millis_clock::now() + longest_connect);
+    co_return co_await connect(self, *call.target, limit);
+}
+
+void leaf_pool::endUnsent(leaf_call &call)
+{
+    leaf_answer answer;
+    answer.ending = call.abandoned ? replica_ending::abandoned : replica_ending::unreachable;
+    end(call, std::move(answer));
+}
+
+void leaf_pool::endWithout(leaf_call &call, const http_failure &failure)
+{
+    leaf_answer answer;
+    if (call.abandoned)
         answer.ending = replica_ending::abandoned;
-    else if (reply.error().timedOut)
+    else if (failure.timedOut)
         answer.ending = replica_ending::timed_out;
-    else if (reply.error().outcome == verdict::not_run)
+    else if (failure.outcome == verdict::not_run)
         answer.ending = replica_ending::unreachable;
-    end(*call, std::move(answer));
-    co_return false;
+    end(call, std::move(answer));
 }
 
 asio::awaitable<bool> leaf_pool::connect(std::shared_ptr<open_connection> self,
--- a/gooseberrymoor/forward/leaf_pool.h
+++ b/gooseberrymoor/forward/leaf_pool.h
@@ -18,6 +18,7 @@
 class http_connection;
 class leaf_protocol;
 class replica_set;
+struct http_failure;
 struct routing_configuration;
 
 // The connections of one node to the targets, one task for each. A target's limit of connections
@@ -42,7 +43,8 @@
     // Nobody waits for `call` any more: ends it, and with it the target's work.
     void abandon(const std::shared_ptr<leaf_call> &call);
 
-    // Opens a connection to each target of `replicas` that has none, so that requests find one.
+    // Opens a connection to each target of `replicas` that has none, so that requests find one,
+    // and closes those to targets that are gone.
     void openAhead(const replica_set &replicas);
 
     // Closes what is idle; calls under way go on.
@@ -69,6 +71,11 @@
     asio::awaitable<bool> connect(std::shared_ptr<open_connection> self, known_replica &target,
                                   time_point deadline);
     std::shared_ptr<leaf_call> takeWaiting(target_connections &target);
+    asio::awaitable<bool> makeUsable(std::shared_ptr<open_connection> self, leaf_call &call);
+    void closeIdle(target_connections &target);
+    void forgetRemoved();
+    void endUnsent(leaf_call &call);
+    void endWithout(leaf_call &call, const http_failure &failure);
     void end(leaf_call &call, leaf_answer answer);
 
     asio::any_io_executor m_executor;
--- a/gooseberrymoor/forward/leaf_pool_test.cpp
+++ b/gooseberrymoor/forward/leaf_pool_test.cpp
@@ -276,6 +276,17 @@
         CHECK(site.next().ending == replica_ending::abandoned);
         CHECK(site.pool.openConnections() == 0);
     }
+    SUBCASE("leave no connection to a target that is gone")
+    {
+        site.target.replies = { { good_reply } };
+        site.send("a1");
+        CHECK(site.next().ending == replica_ending::answered);
+        CHECK(site.pool.openConnections() == 1);
+        site.known->removed = true;
+        site.pool.openAhead(replica_set());
+        site.context.run_for(duration(50));
+        CHECK(site.pool.openConnections() == 0);
+    }
     SUBCASE("have surely not run when there is no target")
     {
         site.known->entry.address = { "127.0.0.1", 1 };
--- a/gooseberrymoor/http/http_server.cpp
+++ b/gooseberrymoor/http/http_server.cpp
@@ -4,10 +4,12 @@
 #include "gooseberrymoor/base/counters.h"
 #include "gooseberrymoor/base/task.h"
 #include "gooseberrymoor/base/timer.h"
+#include "gooseberrymoor/http/close_watch.h"
 #include "gooseberrymoor/http/http_body_source.h"
 #include "gooseberrymoor/http/http_handler.h"
 #include "gooseberrymoor/http/http_headers.h"
 #include "gooseberrymoor/http/operation_deadline.h"
+#include "gooseberrymoor/http/read_timeout.h"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/write.hpp>
@@ -101,71 +103,6 @@
         || error == asio::error::bad_descriptor;
 }
 
-// Ends the reads of a socket at a time and leaves it open for an answer. Leaving its scope disarms
-// it; the socket must outlive it.
-class read_timeout
-{
-public:
-    read_timeout(tcp::socket &socket, time_point when)
-        : m_timer(socket.get_executor(), when), m_state(std::make_shared<state>())
-    {
-        m_timer.async_wait([&socket, shared = m_state](const boost::system::error_code &error) {
-            if (error || shared->disarmed)
-                return;
-            shared->passed = true;
-            boost::system::error_code ignored;
-            socket.cancel(ignored);
-        });
-    }
-    ~read_timeout() { m_state->disarmed = true; }
-    read_timeout(const read_timeout &) = delete;
-    read_timeout &operator=(const read_timeout &) = delete;
-
-    bool hasPassed() const { return m_state->passed; }
-
-private:
-    struct state
-    {
-        bool disarmed = false;
-        bool passed = false;
-    };
-    timer m_timer;
-    std::shared_ptr<state> m_state;
-};
-
-// Watches the socket of a client that waits for its answer. A socket that becomes readable with
-// nothing to read was closed by the client. Leaving its scope ends the watch; the socket must
-// outlive it.
-class close_watch
-{
-public:
-    close_watch(tcp::socket &socket, std::shared_ptr<cancellation> abandoned)
-        : m_socket(socket), m_live(std::make_shared<bool>(true))
-    {
-        socket.async_wait(tcp::socket::wait_read,
-                          [&socket, live = m_live, abandoned = std::move(abandoned)](
-                              const boost::system::error_code &error) {
-                              if (!*live || error)
-                                  return;
-                              boost::system::error_code failure;
-                              if (socket.available(failure) == 0)
-                                  abandoned->cancel();
-                          });
-    }
-    ~close_watch()
-    {
-        *m_live = false;
-        boost::system::error_code ignored;
-        m_socket.cancel(ignored);
-    }
-    close_watch(const close_watch &) = delete;
-    close_watch &operator=(const close_watch &) = delete;
-
-private:
-    tcp::socket &m_socket;
-    std::shared_ptr<bool> m_live;
-};
-
 } // namespace
 
 struct http_server::incoming
--- /dev/null
+++ b/gooseberrymoor/store/base64_test.cpp
@@ -0,0 +1,26 @@
+#include "gooseberrymoor/store/base64.h"
+
+#include <doctest/doctest.h>
+
+using namespace gooseberrymoor;
+
+TEST_CASE("Bytes travel as base64")
+{
+    SUBCASE("with padding")
+    {
+        CHECK(toBase64("node-1") == "bm9kZS0x");
+        CHECK(toBase64("a") == "YQ==");
+        CHECK(toBase64("").empty());
+    }
+    SUBCASE("and come back as they were, whatever they are")
+    {
+        std::string bytes;
+        for (int i = 0; i < 256; ++i)
+            bytes += static_cast<char>(i);
+        CHECK(fromBase64(toBase64(bytes)) == bytes);
+    }
+    SUBCASE("and what is none of it harms nothing")
+    {
+        CHECK(fromBase64("!!").empty());
+    }
+}
--- a/gooseberrymoor/store/etcd_codec.cpp
+++ b/gooseberrymoor/store/etcd_codec.cpp
@@ -1,6 +1,7 @@
 #include "gooseberrymoor/store/etcd_codec.h"
 
-#include <boost/beast/core/detail/base64.hpp>
+#include "gooseberrymoor/store/base64.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -12,7 +13,6 @@
 namespace {
 
 namespace json = boost::json;
-namespace base64 = boost::beast::detail::base64;
 
 // The first key after all that begin with `prefix`.
 std::string endOfPrefix(std::string prefix)
@@ -56,20 +56,6 @@
 
 } // namespace
 
-std::string toBase64(const std::string &bytes)
-{
-    std::string text(base64::encoded_size(bytes.size()), '\0');
-    text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
-    return text;
-}
-
-std::string fromBase64(const std::string &text)
-{
-    std::string bytes(base64::decoded_size(text.size()), '\0');
-    bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
-    return bytes;
-}
-
 std::string encodeRangeRequest(const std::string &prefix)
 {
     return json::serialize(json::object { { "key", toBase64(prefix) },
--- a/gooseberrymoor/store/etcd_codec.h
+++ b/gooseberrymoor/store/etcd_codec.h
@@ -48,10 +48,4 @@
 // no longer tell what changed.
 tl::expected<bool, std::string> decodeWatchLine(const std::string &line);
 
-// Base64 with padding.
-std::string toBase64(const std::string &bytes);
-
-// The inverse of `toBase64`.
-std::string fromBase64(const std::string &text);
-
 } // namespace gooseberrymoor
--- a/gooseberrymoor/store/etcd_codec_test.cpp
+++ b/gooseberrymoor/store/etcd_codec_test.cpp
@@ -1,5 +1,7 @@
 #include "gooseberrymoor/store/etcd_codec.h"
 
+#include "gooseberrymoor/store/base64.h"
+
 #include <boost/json.hpp>
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
--- a/testing/platform_stand_in/platform_store_state.cpp
+++ b/testing/platform_stand_in/platform_store_state.cpp
@@ -1,6 +1,6 @@
 #include "platform_store_state.h"
 
-#include "gooseberrymoor/store/etcd_codec.h"
+#include "gooseberrymoor/store/base64.h"
 
 #include <boost/json.hpp>
 
--- a/testing/store_stand_in/store_state.cpp
+++ b/testing/store_stand_in/store_state.cpp
@@ -1,5 +1,6 @@
 #include "store_state.h"
 
+#include "gooseberrymoor/store/base64.h"
 #include "gooseberrymoor/store/etcd_codec.h"
 
 #include <boost/json.hpp>
