Refuse a request at once when too few of its shards have a target; say when to come back

Change: request_run sends nothing then, so that the refusal as not run is true; retryAfter is 400 ms when no target was known and 100 ms when targets were full, within 0.28 of the caller's time.

--- a/gooseberrymoor/forward/forward_timing.cpp
+++ b/gooseberrymoor/forward/forward_timing.cpp
@@ -14,6 +14,11 @@
 constexpr double earliest_hedge = 0.2; // of the target latency
 constexpr double latest_hedge = 0.45;
 
+// Targets register again within some two seconds after an outage of the store.
+constexpr duration retry_when_unknown { 400 };
+constexpr duration retry_when_full { 100 };
+constexpr double longest_retry_share = 0.28; // of the caller's time, so that some is left
+
 duration part(duration whole, double share)
 {
     return duration(static_cast<duration::rep>(static_cast<double>(whole.count()) * share));
@@ -36,4 +41,10 @@
     return std::clamp(usual, earliest, latest);
 }
 
+duration retryAfter(duration left, bool knewTargets)
+{
+    const duration wanted = knewTargets ? retry_when_full : retry_when_unknown;
+    return std::clamp(part(left, longest_retry_share), duration(0), wanted);
+}
+
 } // namespace gooseberrymoor
--- a/gooseberrymoor/forward/forward_timing.h
+++ b/gooseberrymoor/forward/forward_timing.h
@@ -15,4 +15,8 @@
 // take `usual` (zero: not known). Never later than leaves a second target its time.
 duration hedgeDelay(const route &route, duration usual);
 
+// When a caller that was refused, with `left` of its time, may come back: soon if targets were
+// full, later if none was known, as just after a restart, and always within its time.
+duration retryAfter(duration left, bool knewTargets);
+
 } // namespace gooseberrymoor
--- a/gooseberrymoor/forward/forwarder.cpp
+++ b/gooseberrymoor/forward/forwarder.cpp
@@ -22,8 +22,6 @@
 constexpr double usual_quantile = 0.95;
 constexpr double enough_answers = 20; // until the quantile says something
 constexpr std::size_t most_named = 4; // calls in a line of the log
-constexpr duration first_retry_after { 100 };
-constexpr int retry_after_part = 6; // of the time that the caller has left
 
 std::string toText(duration value)
 {
@@ -229,8 +227,8 @@
         return result;
     }
     if (active.run.hasSurelyNotRun()) {
-        const duration left = active.deadline - millis_clock::now();
-        result.retryAfter = std::min(first_retry_after, left / retry_after_part);
+        result.retryAfter
+            = retryAfter(active.deadline - millis_clock::now(), active.run.sent() > 0);
         result.status = forward_status::refused;
         return result;
     }
--- a/gooseberrymoor/forward/request_run.cpp
+++ b/gooseberrymoor/forward/request_run.cpp
@@ -31,7 +31,11 @@
         m_budget.onRequest(m_plan.services[shard], now);
         send(sends, shard, send_reason::first, now);
     }
-    return sends;
+    if (sends.size() >= leastShards())
+        return sends;
+    // No success is possible, so no target is bothered.
+    m_shards.assign(m_shards.size(), shard_state());
+    return {};
 }
 
 std::vector<run_send> request_run::onEnding(std::size_t shard, std::uint64_t attempt,
--- a/gooseberrymoor/forward/request_run_test.cpp
+++ b/gooseberrymoor/forward/request_run_test.cpp
@@ -246,6 +246,22 @@
     }
 }
 
+TEST_CASE("A request whose shards mostly have no target, as after a restart")
+{
+    fixture site;
+    site.selector.targets["s0"] = 0;
+    site.selector.targets["s1"] = 0;
+    request_run run(shardedPlan(4), site.selector, site.budget);
+
+    SUBCASE("is sent nowhere and refused at once, as not run")
+    {
+        CHECK(run.start(start).empty());
+        CHECK(run.isComplete(start));
+        CHECK(run.hasSurelyNotRun());
+        CHECK(!run.isSuccess());
+    }
+}
+
 TEST_CASE("A service without any target")
 {
     fixture site;
