Lengthen the time for calls to the store once for calls that time out together

Ruled out: a loss of the configuration or of targets: both were there 15 ms after the store answered. Change: a call lengthens the time to twice what it waited itself. call_patience_test has the case.

--- a/gooseberrymoor/store/call_patience.h
+++ b/gooseberrymoor/store/call_patience.h
@@ -25,8 +25,8 @@
         m_time = std::clamp(taken * slow_factor, m_shortest, m_longest);
     }
 
-    // A call was not answered in time.
-    void onTimedOut() { m_time = std::min(m_time * 2, m_longest); }
+    // A call that was waited for as long as `waited` was not answered.
+    void onTimedOut(duration waited) { m_time = std::max(m_time, std::min(waited * 2, m_longest)); }
 
 private:
     static constexpr int slow_factor = 3; // times the last answer
--- a/gooseberrymoor/store/call_patience_test.cpp
+++ b/gooseberrymoor/store/call_patience_test.cpp
@@ -14,12 +14,18 @@
     }
     SUBCASE("longer after calls that were not answered in time")
     {
-        patience.onTimedOut();
+        patience.onTimedOut(duration(300));
         CHECK(patience.time() == duration(600));
+        SUBCASE("once for calls that waited at the same time")
+        {
+            patience.onTimedOut(duration(300));
+            patience.onTimedOut(duration(300));
+            CHECK(patience.time() == duration(600));
+        }
         SUBCASE("up to a limit")
         {
             for (int i = 0; i < 5; ++i)
-                patience.onTimedOut();
+                patience.onTimedOut(patience.time());
             CHECK(patience.time() == duration(1500));
         }
         SUBCASE("as long as it is slow")
