Use the store's type of a change in its copies, too

Cause: mirror_change was store_change with other names, and a loop copied one into the other. Change: mirror_change goes; the mirror and its updates use store_change. No change of behaviour. Conclusion: one copy of the type.

--- a/gooseberrymoor/mirror/mirror_follower.cpp
+++ b/gooseberrymoor/mirror/mirror_follower.cpp
@@ -77,7 +77,7 @@
     m_lastHeard = now;
 }
 
-void mirror_follower::share(std::int64_t fromRevision, std::vector<mirror_change> changes)
+void mirror_follower::share(std::int64_t fromRevision, std::vector<store_change> changes)
 {
     const time_point now = millis_clock::now();
     if (!m_parts.duty.isReader(now))
@@ -125,10 +125,7 @@
         co_return false;
     }
     onSuccess(begun);
-    std::vector<mirror_change> changes;
-    for (const store_change &each : read->changes)
-        changes.push_back({ each.key, each.value, each.modRevision });
-    share(before, m_parts.mirror.onChanges(changes, read->revision, millis_clock::now()));
+    share(before, m_parts.mirror.onChanges(read->changes, read->revision, millis_clock::now()));
     co_return true;
 }
 
--- a/gooseberrymoor/mirror/mirror_follower.h
+++ b/gooseberrymoor/mirror/mirror_follower.h
@@ -67,7 +67,7 @@
     void onSuccess(time_point begun);
     duration pauseAfterFailure();
 
-    void share(std::int64_t fromRevision, std::vector<mirror_change> changes);
+    void share(std::int64_t fromRevision, std::vector<store_change> changes);
 
     follow_parts m_parts;
     std::string m_prefix;
--- a/gooseberrymoor/mirror/mirror_update.h
+++ b/gooseberrymoor/mirror/mirror_update.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gooseberrymoor/base/millis_clock.h"
-#include "gooseberrymoor/mirror/mirror_change.h"
+#include "gooseberrymoor/store/store_change.h"
 
 #include <cstdint>
 #include <string>
@@ -17,7 +17,7 @@
     std::int64_t fromRevision = 0;
     std::int64_t toRevision = 0;
     duration wellFor { 0 }; // since the store last failed the reader
-    std::vector<mirror_change> changes; // that matter to readers of the copy
+    std::vector<store_change> changes; // that matter to readers of the copy
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/mirror/mirror_update_codec.cpp
+++ b/gooseberrymoor/mirror/mirror_update_codec.cpp
@@ -9,12 +9,13 @@
 {
     flatbuffers::FlatBufferBuilder builder;
     std::vector<flatbuffers::Offset<wire::key_change>> changes;
-    for (const mirror_change &each : update.changes) {
+    for (const store_change &each : update.changes) {
         const auto key = builder.CreateString(each.key);
         const std::string &value = each.value ? *each.value : std::string();
         const auto bytes = builder.CreateVector(
             reinterpret_cast<const std::uint8_t *>(value.data()), value.size());
-        changes.push_back(wire::Createkey_change(builder, key, bytes, !each.value, each.revision));
+        changes.push_back(
+            wire::Createkey_change(builder, key, bytes, !each.value, each.modRevision));
     }
     const auto prefix = builder.CreateString(update.prefix);
     const auto list = builder.CreateVector(changes);
@@ -35,7 +36,7 @@
     update.toRevision = from->to_revision();
     update.wellFor = duration(from->well_for_ms());
     for (const wire::key_change *each : *from->changes()) {
-        mirror_change change { textOf(each->key()), std::nullopt, each->revision() };
+        store_change change { textOf(each->key()), std::nullopt, each->revision() };
         if (!each->removed() && each->value())
             change.value.emplace(each->value()->begin(), each->value()->end());
         update.changes.push_back(std::move(change));
--- a/gooseberrymoor/mirror/store_mirror.cpp
+++ b/gooseberrymoor/mirror/store_mirror.cpp
@@ -37,18 +37,18 @@
     onTime(now);
 }
 
-std::vector<mirror_change> store_mirror::onChanges(const std::vector<mirror_change> &changes,
-                                                   std::int64_t revision, time_point now)
+std::vector<store_change> store_mirror::onChanges(const std::vector<store_change> &changes,
+                                                  std::int64_t revision, time_point now)
 {
-    std::vector<mirror_change> news;
-    for (const mirror_change &each : changes) {
+    std::vector<store_change> news;
+    for (const store_change &each : changes) {
         if (each.value) {
-            if (putValue(each.key, *each.value, each.revision))
+            if (putValue(each.key, *each.value, each.modRevision))
                 news.push_back(each);
             continue;
         }
         const auto found = m_entries.find(each.key);
-        if (found != m_entries.end() && found->second.revision < each.revision) {
+        if (found != m_entries.end() && found->second.revision < each.modRevision) {
             removeLater(each.key, now);
             news.push_back(each);
         }
--- a/gooseberrymoor/mirror/store_mirror.h
+++ b/gooseberrymoor/mirror/store_mirror.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "gooseberrymoor/base/millis_clock.h"
-#include "gooseberrymoor/mirror/mirror_change.h"
+#include "gooseberrymoor/store/store_change.h"
 
 #include <cstdint>
 #include <map>
@@ -28,8 +28,8 @@
     void onRead(const store_read &read, time_point now);
 
     // What changed up to `revision`. Returns those changes that say anything new.
-    std::vector<mirror_change> onChanges(const std::vector<mirror_change> &changes,
-                                         std::int64_t revision, time_point now);
+    std::vector<store_change> onChanges(const std::vector<store_change> &changes,
+                                        std::int64_t revision, time_point now);
 
     // A call to the store failed.
     void onOutage(time_point now);
--- a/gooseberrymoor/mirror/store_mirror_test.cpp
+++ b/gooseberrymoor/mirror/store_mirror_test.cpp
@@ -87,7 +87,7 @@
         recorder heard;
         store_mirror copy(heard, duration(0));
         std::map<std::string, std::string> truth;
-        std::vector<mirror_change> history;
+        std::vector<store_change> history;
         for (std::int64_t revision = 1; revision <= 30; ++revision) {
             const std::string key(1, *rc::gen::inRange('a', 'e'));
             if (*rc::gen::inRange(0, 3) == 0 && truth.contains(key)) {
@@ -102,10 +102,10 @@
         while (done < history.size()) {
             const auto from = *rc::gen::inRange<std::size_t>(0, done + 1);
             const auto to = *rc::gen::inRange<std::size_t>(done + 1, history.size() + 1);
-            const std::vector<mirror_change> part(
-                history.begin() + static_cast<std::ptrdiff_t>(from),
-                history.begin() + static_cast<std::ptrdiff_t>(to));
-            copy.onChanges(part, part.back().revision, start);
+            const std::vector<store_change> part(history.begin()
+                                                     + static_cast<std::ptrdiff_t>(from),
+                                                 history.begin() + static_cast<std::ptrdiff_t>(to));
+            copy.onChanges(part, part.back().modRevision, start);
             done = to;
         }
         RC_ASSERT(heard.values == truth);
