Keep a removed key removed in the mirror of the store

Cause: a copy takes a value whose key it doesn't hold, whatever its revision. An update of a paused reader that arrives late, or a full read that started before a removal and ends after it, brought a target that had left, or a withdrawn key, into use again, until it changed the next time. Ruled out: relays alone (a single sender is in order; two readers in turn, or a read beside a relay, are not). Change: a value that is not newer than the copy's revision is ignored.

--- a/gooseberrymoor/mirror/store_mirror.cpp
+++ b/gooseberrymoor/mirror/store_mirror.cpp
@@ -93,9 +93,12 @@
     return next;
 }
 
-// Returns whether the change is significant or cancels a pending removal.
+// Returns whether the change is significant or cancels a pending removal. The copy already reflects
+// all changes up to its revision: an older value that it lacks has been removed since.
 bool store_mirror::putValue(const std::string &key, const std::string &value, std::int64_t revision)
 {
+    if (revision <= m_revision)
+        return false;
     entry &known = m_entries[key];
     if (revision <= known.revision)
         return false;
--- a/gooseberrymoor/mirror/store_mirror_test.cpp
+++ b/gooseberrymoor/mirror/store_mirror_test.cpp
@@ -53,6 +53,26 @@
         mirror.onChanges({ { "a", std::nullopt, 11 } }, 11, start);
         CHECK(!listener.values.contains("a"));
     }
+    SUBCASE("does not bring a removed key back")
+    {
+        mirror.onChanges({ { "a", std::nullopt, 12 } }, 12, start);
+        REQUIRE(!listener.values.contains("a"));
+        SUBCASE("when an older update arrives late, from a reader that was paused")
+        {
+            mirror.onChanges({ { "a", "2", 11 } }, 11, start);
+            CHECK(!listener.values.contains("a"));
+        }
+        SUBCASE("when a full read that started before the removal ends after it")
+        {
+            mirror.onFullRead({ 11, { { "a", "2", 11 }, { "b", "1", 9 } } }, start);
+            CHECK(!listener.values.contains("a"));
+        }
+        SUBCASE("unless it is written again")
+        {
+            mirror.onChanges({ { "a", "3", 13 } }, 13, start);
+            CHECK(listener.values["a"] == "3");
+        }
+    }
     SUBCASE("after an outage")
     {
         mirror.onOutage(start + duration(100));
@@ -110,4 +130,41 @@
         }
         RC_ASSERT(recorder.values == expected);
     }));
+    CHECK(rc::check("never contains a key that was removed by its revision", [] {
+        recording_listener recorder;
+        store_mirror copy(recorder, duration(0));
+        std::vector<store_change> history;
+        std::vector<std::map<std::string, store_entry>> states(1); // by revision
+        for (std::int64_t revision = 1; revision <= 30; ++revision) {
+            const std::string key(1, *rc::gen::inRange('a', 'e'));
+            states.push_back(states.back());
+            if (states.back().erase(key) > 0) {
+                history.push_back({ key, std::nullopt, revision });
+            } else {
+                const std::string value = std::to_string(revision);
+                states.back()[key] = { key, value, revision };
+                history.push_back({ key, value, revision });
+            }
+        }
+        for (int step = 0; step < 20; ++step) {
+            const auto to = *rc::gen::inRange<std::size_t>(1, history.size() + 1);
+            if (copy.revision() == 0 || *rc::gen::arbitrary<bool>()) {
+                store_read read { static_cast<std::int64_t>(to), {} };
+                for (const auto &[key, entry] : states[to])
+                    read.entries.push_back(entry);
+                copy.onFullRead(read, start);
+            } else {
+                // A batch starts at the copy's revision or before it.
+                const auto known = static_cast<std::size_t>(copy.revision());
+                const auto from = *rc::gen::inRange<std::size_t>(0, std::min(known, to));
+                copy.onChanges({ history.begin() + static_cast<std::ptrdiff_t>(from),
+                                 history.begin() + static_cast<std::ptrdiff_t>(to) },
+                               static_cast<std::int64_t>(to), start);
+            }
+            std::map<std::string, std::string> expected;
+            for (const auto &[key, entry] : states[static_cast<std::size_t>(copy.revision())])
+                expected[key] = entry.value;
+            RC_ASSERT(recorder.values == expected);
+        }
+    }));
 }
