Reject an odd entry alone, and check durations from outside before arithmetic

Ruled out: deep nesting, 2^64, 1e400, ports 0 and 70000, names as addresses and bytes that are no UTF-8 were rejected before; the tests show them all.

--- a/gooseberrymoor/fleet/fleet_view.cpp
+++ b/gooseberrymoor/fleet/fleet_view.cpp
@@ -28,6 +28,10 @@
         m_log.write("member_unreadable", { { "key", key }, { "reason", member.error() } });
         return;
     }
+    if (!key.ends_with("/" + member->name)) {
+        m_log.write("member_unreadable", { { "key", key }, { "reason", "names another node" } });
+        return;
+    }
     if (member->name == m_own.name)
         return;
     m_log.write("member_seen",
--- a/gooseberrymoor/mirror/mirror_update_codec.cpp
+++ b/gooseberrymoor/mirror/mirror_update_codec.cpp
@@ -1,8 +1,11 @@
 #include "gooseberrymoor/mirror/mirror_update_codec.h"
 
+#include "gooseberrymoor/base/external_duration.h"
 #include "gooseberrymoor/mirror/mirror_update_generated.h"
 #include "gooseberrymoor/peer/wire.h"
 
+#include <algorithm>
+
 namespace gooseberrymoor {
 
 std::vector<std::uint8_t> encodeMirrorUpdate(const mirror_update &update)
@@ -35,7 +38,8 @@
     update.prefix = textOf(from->prefix());
     update.fromRevision = from->from_revision();
     update.toRevision = from->to_revision();
-    update.storeHealthyFor = duration(from->well_for_ms());
+    update.storeHealthyFor
+        = std::clamp(duration(from->well_for_ms()), duration(0), max_external_duration);
     update.isRelayed = from->passed_on();
     for (const wire::key_change *each : *from->changes()) {
         store_change change { textOf(each->key()), std::nullopt, each->revision() };
--- a/gooseberrymoor/mirror/store_mirror.h
+++ b/gooseberrymoor/mirror/store_mirror.h
@@ -14,7 +14,8 @@
 struct store_read;
 
 // This node's copy of the keys below one prefix of the store. A value is replaced only by one with
-// a greater revision, and a removed key returns only with a value written after the copy's revision.
+// a greater revision, and a removed key returns only with a value written after the copy's
+// revision.
 //
 // After an outage of the store, removals are delayed by the re-registration time: leases may have
 // expired during the outage, and writers that are still alive write their keys again within that
--- a/gooseberrymoor/tier/replica_key_listener.cpp
+++ b/gooseberrymoor/tier/replica_key_listener.cpp
@@ -41,7 +41,9 @@
 bool replica_key_listener::isSignificantChange(const std::string &before,
                                                const std::string &after) const
 {
-    const std::string anyKey;
+    if (before == after)
+        return false;
+    const std::string anyKey = m_decoder.replicaPrefix() + "any";
     const auto previous = m_decoder.decodeReplica(anyKey, before);
     const auto entry = m_decoder.decodeReplica(anyKey, after);
     return !previous || !entry || *previous != *entry;
