Heed targets that leave or ask for a pause, and bound replies without end

Cause: a target's word in its replies was not read: it got requests until its registry entry changed, and one that refused with Retry-After was asked again after 100 ms. A reply could grow to 64 MiB, a chunk's extension without any bound, and an interim reply counted as the final one. Change: replica_backpressure holds both for a target and its incarnation, also over the removal of its entry; calls that wait go elsewhere, idle connections to a leaving target close; a service without a target that accepts requests is refused at once, with the time until one does. After a pause one request probes the target. Bodies of targets are limited to 1 MiB each and, beyond their first 32 KiB, 32 MiB together; heads to 16 KiB; interim replies are skipped, up to 8.

--- a/gooseberrymoor/forward/forward_timing.cpp
+++ b/gooseberrymoor/forward/forward_timing.cpp
@@ -42,8 +42,10 @@
     return std::clamp(typicalLatency, earliest, latest);
 }
 
-duration retryAfter(duration remaining, bool hadTargets)
+duration retryAfter(duration remaining, bool hadTargets, duration untilAvailable)
 {
+    if (untilAvailable > duration(0) && untilAvailable < remaining)
+        return untilAvailable;
     const duration wanted = hadTargets ? retry_delay_when_full : retry_delay_without_targets;
     return std::clamp(scaled(remaining, max_retry_fraction), duration(0), wanted);
 }
--- a/gooseberrymoor/forward/forward_timing.h
+++ b/gooseberrymoor/forward/forward_timing.h
@@ -19,7 +19,8 @@
 
 // Suggested delay before a refused caller retries: short if the targets were full, longer if no
 // target was known, as just after a restart. Never more than a fraction of `remaining`, the time
-// until the caller's deadline.
-duration retryAfter(duration remaining, bool hadTargets);
+// until the caller's deadline. If no target accepts requests before `untilAvailable` has passed,
+// that time, unless it leaves the caller no time for a retry.
+duration retryAfter(duration remaining, bool hadTargets, duration untilAvailable = duration(0));
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/forward/forward_timing_test.cpp
+++ b/gooseberrymoor/forward/forward_timing_test.cpp
@@ -59,5 +59,13 @@
             CHECK(retryAfter(duration(400), false) == duration(112));
             CHECK(retryAfter(duration(-5), false) == duration(0));
         }
+        SUBCASE("when a target accepts requests again")
+        {
+            CHECK(retryAfter(duration(5000), true, duration(1700)) == duration(1700));
+            SUBCASE("unless that is after its deadline")
+            {
+                CHECK(retryAfter(duration(1000), true, duration(1700)) == duration(100));
+            }
+        }
     }
 }
--- a/gooseberrymoor/forward/forwarder.cpp
+++ b/gooseberrymoor/forward/forwarder.cpp
@@ -24,12 +24,22 @@
 constexpr double hedge_quantile = 0.95;
 constexpr double min_latency_samples = 20; // for a meaningful quantile
 constexpr std::size_t max_logged_calls = 4; // per log line
+constexpr std::size_t max_untrimmed_part_bytes = 4096; // a longer part is reduced on arrival
 
 std::string millisText(duration value)
 {
     return std::to_string(value.count());
 }
 
+// Reduces a part of a sharded response to the records that the response can include.
+void trimPart(http_reply &part, std::size_t maxRecords)
+{
+    std::vector<std::string> bodies;
+    bodies.push_back(std::move(part.body));
+    part.body = largestRecords(bodies, maxRecords);
+    part.reservation.reset();
+}
+
 } // namespace
 
 struct forwarder::active_request
@@ -55,6 +65,7 @@
     std::map<std::uint64_t, time_point> sentAt;
     duration targetLatency { 0 };
     int priority = 0;
+    std::size_t maxRecords = 0; // of a sharded response
     std::string slowestService; // of the shards that have responded
     std::string slowestTarget;
     duration slowestTime { 0 };
@@ -94,6 +105,7 @@
     active.latency = &m_latencies[route->name];
     active.targetLatency = route->targetLatency;
     active.priority = route->priority;
+    active.maxRecords = route->maxRecords;
     ++m_running;
     bool callerDisconnected = false;
     if (request->abandoned) {
@@ -224,6 +236,9 @@
     if (response)
         return;
     response = std::move(completion.result);
+    const bool isSharded = active.responses.size() > 1;
+    if (isSharded && response->reply.body.size() > max_untrimmed_part_bytes)
+        trimPart(response->reply, active.maxRecords);
     active.slowestTime = millis_clock::now() - active.request->arrived;
     active.slowestService = active.services[completion.shard];
     active.slowestTarget = std::move(completion.target);
@@ -253,8 +268,9 @@
         return result;
     }
     if (active.run.hasDefinitelyNotRun()) {
-        result.retryAfter
-            = retryAfter(active.deadline - millis_clock::now(), active.run.sent() > 0);
+        const time_point now = millis_clock::now();
+        result.retryAfter = retryAfter(active.deadline - now, active.run.sent() > 0,
+                                       active.run.enoughAvailableAt() - now);
         result.status = forward_status::refused;
         return result;
     }
--- a/gooseberrymoor/forward/leaf_call_result.h
+++ b/gooseberrymoor/forward/leaf_call_result.h
@@ -3,6 +3,7 @@
 #include "gooseberrymoor/http/http_message.h"
 #include "gooseberrymoor/replica/attempt_outcome.h"
 #include "gooseberrymoor/replica/load_report.h"
+#include "gooseberrymoor/replica/reply_signals.h"
 
 #include <optional>
 #include <string>
@@ -15,6 +16,7 @@
     attempt_outcome outcome = attempt_outcome::lost;
     std::string signature; // the target's signature of its reply; empty if absent
     std::optional<load_report> load;
+    reply_signals signals;
     http_reply reply; // as sent by the target
     bool isMismatched = false; // the reply names the attempt of another request
 };
--- a/gooseberrymoor/forward/leaf_pool.cpp
+++ b/gooseberrymoor/forward/leaf_pool.cpp
@@ -1,10 +1,12 @@
 #include "gooseberrymoor/forward/leaf_pool.h"
 
 #include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/base/event_log.h"
 #include "gooseberrymoor/base/task.h"
 #include "gooseberrymoor/forward/caller_request.h"
 #include "gooseberrymoor/forward/leaf_completion_queue.h"
 #include "gooseberrymoor/forward/leaf_protocol.h"
+#include "gooseberrymoor/http/byte_budget.h"
 #include "gooseberrymoor/http/http_connection.h"
 #include "gooseberrymoor/http/http_failure.h"
 #include "gooseberrymoor/replica/replica_set.h"
@@ -19,25 +21,32 @@
 constexpr duration max_connect_time { 400 };
 constexpr duration max_idle_time { 20'000 };
 constexpr duration non_subset_idle_timeout { 1000 }; // of connections outside of the subset
-constexpr int millis_per_second = 1000;
 constexpr duration idle_close_margin { 600 }; // closes before the target's idle timeout
 constexpr duration reply_margin { 60 }; // transit time of a reply sent right at the deadline
+constexpr std::uint64_t max_reply_body_bytes = 1024ULL * 1024;
+constexpr std::size_t max_held_reply_bytes = 32ULL * 1024 * 1024; // of all replies together
 
 // How long to keep a connection idle after `reply`.
 duration idleTimeOf(const http_reply &reply)
 {
     if (reply.keepAliveSeconds <= 0)
         return max_idle_time;
-    return std::min(max_idle_time,
-                    duration(reply.keepAliveSeconds * millis_per_second) - idle_close_margin);
+    const duration offered = std::chrono::seconds(reply.keepAliveSeconds);
+    return std::min(max_idle_time, offered - idle_close_margin);
+}
+
+// Whether `target` shuts down, by its entry or by a reply.
+bool isLeaving(const known_replica &target)
+{
+    return target.entry.draining || target.backpressure.isLeaving();
 }
 
 } // namespace
 
 struct leaf_pool::pooled_connection
 {
-    explicit pooled_connection(asio::any_io_executor executor)
-        : http(executor), wake(std::move(executor))
+    pooled_connection(asio::any_io_executor executor, reply_limits limits)
+        : http(executor, std::move(limits)), wake(std::move(executor))
     {
     }
 
@@ -59,10 +68,14 @@
     std::deque<std::shared_ptr<leaf_call>> queuedCalls;
 };
 
-leaf_pool::leaf_pool(asio::any_io_executor executor, const leaf_protocol &protocol,
-                     const replica_subset &subset, counters &events)
-    : m_executor(std::move(executor)), m_protocol(protocol), m_subset(subset), m_events(events)
+leaf_pool::leaf_pool(asio::any_io_executor executor, leaf_pool_dependencies dependencies,
+                     std::uint32_t seed)
+    : m_executor(std::move(executor)), m_protocol(dependencies.protocol),
+      m_replicas(dependencies.replicas), m_subset(dependencies.subset), m_log(dependencies.log),
+      m_events(dependencies.events), m_random(seed)
 {
+    m_replyLimits.bodyBytes = max_reply_body_bytes;
+    m_replyLimits.bodyBudget = std::make_shared<byte_budget>(max_held_reply_bytes);
 }
 
 leaf_pool::~leaf_pool() = default;
@@ -123,18 +136,20 @@
     }
 }
 
-void leaf_pool::reconcile(const replica_set &replicas)
+void leaf_pool::reconcile()
 {
     const time_point now = millis_clock::now();
     for (auto &[key, connections] : m_targets) {
-        if (!replicas.isEligible(*connections->target))
+        if (!m_replicas.isEligible(*connections->target))
             failQueuedCalls(*connections);
+        if (isLeaving(*connections->target))
+            closeIdle(*connections, time_point::max());
         if (!m_subset.holds(*connections->target))
             closeIdle(*connections, now - non_subset_idle_timeout);
     }
     closeRemovedTargets();
-    for (const auto &[id, target] : replicas.all()) {
-        if (!replicas.isEligible(*target) || !m_subset.holds(*target))
+    for (const auto &[id, target] : m_replicas.all()) {
+        if (!acceptsRequests(*target) || !m_subset.holds(*target))
             continue;
         const target_connections_ptr connections = connectionsTo(target);
         if (connections->open.empty() && !target->health.isSuspect(now))
@@ -142,6 +157,46 @@
     }
 }
 
+// Whether `target` is eligible and has not asked for a pause.
+bool leaf_pool::acceptsRequests(const known_replica &target) const
+{
+    return m_replicas.isEligible(target) && !target.backpressure.isBackingOff(millis_clock::now());
+}
+
+// Records what a target asked for in its reply. If it wants no more requests, its queued calls go
+// elsewhere, and if it is leaving, its idle connections close.
+void leaf_pool::applySignals(target_connections &target, const reply_signals &signals,
+                             unsigned status)
+{
+    known_replica &replica = *target.target;
+    const time_point now = millis_clock::now();
+    if (signals.isRetryAfterInvalid) {
+        m_events.add("leaf_retry_after_invalid");
+        m_log.write("target_retry_after_invalid", { { "target", replica.entry.id } });
+    }
+    const double jitter = std::uniform_real_distribution<double>(0, 1)(m_random);
+    const backpressure_change change = m_replicas.onReply(replica, signals, jitter, now);
+    if (change.leavingStarted) {
+        m_events.add("leaf_leaving_notices");
+        m_log.write("target_leaving",
+                    { { "target", replica.entry.id },
+                      { "service", replica.entry.service },
+                      { "status", std::to_string(status) } });
+        closeIdle(target, time_point::max());
+    }
+    if (change.backoffStarted) {
+        const duration left = replica.backpressure.backoffUntil() - now;
+        m_events.add("leaf_backoffs");
+        m_log.write("target_backing_off",
+                    { { "target", replica.entry.id },
+                      { "service", replica.entry.service },
+                      { "status", std::to_string(status) },
+                      { "for_ms", std::to_string(left.count()) } });
+    }
+    if (!acceptsRequests(replica))
+        failQueuedCalls(target);
+}
+
 // Completes all queued calls as not run.
 void leaf_pool::failQueuedCalls(target_connections &target)
 {
@@ -212,7 +267,7 @@
 void leaf_pool::startConnection(const target_connections_ptr &target,
                                 std::shared_ptr<leaf_call> firstCall)
 {
-    const auto connection = std::make_shared<pooled_connection>(m_executor);
+    const auto connection = std::make_shared<pooled_connection>(m_executor, m_replyLimits);
     target->open.insert(connection); // counts towards the limit before its task starts
     startTask(m_executor, m_events, "leaf_connection",
               runConnection(target, connection, std::move(firstCall)));
@@ -230,7 +285,7 @@
             call = co_await nextCall(target, self);
         if (!call)
             break;
-        usable = co_await performCall(self, call);
+        usable = co_await performCall(target, self, call);
         call.reset();
     }
     const bool wasConnected = self->isConnected;
@@ -253,26 +308,28 @@
         co_return queued;
     self->idleSince = millis_clock::now();
     target->idle.push_back(self);
-    while (!self->assignedCall && !self->shouldClose && millis_clock::now() < self->closeAt)
+    while (!self->assignedCall && !self->shouldClose && !isLeaving(*target->target)
+           && millis_clock::now() < self->closeAt)
         co_await self->wake.wait(self->closeAt);
     std::erase(target->idle, self);
     co_return std::move(self->assignedCall);
 }
 
 // Performs `call`; returns whether the connection can be reused.
-asio::awaitable<bool> leaf_pool::performCall(std::shared_ptr<pooled_connection> self,
+asio::awaitable<bool> leaf_pool::performCall(target_connections_ptr target,
+                                             std::shared_ptr<pooled_connection> self,
                                              std::shared_ptr<leaf_call> call)
 {
-    if (call->cancelled || millis_clock::now() >= call->deadline) {
+    if (!mayBeSent(*call)) {
         completeUnsent(*call);
         co_return self->http.isOpen();
     }
     self->currentCall = call;
     const bool connected = co_await ensureConnected(self, *call);
-    if (!connected || call->cancelled) {
+    if (!connected || !mayBeSent(*call)) {
         self->currentCall.reset();
         completeUnsent(*call);
-        co_return false;
+        co_return connected && !call->cancelled;
     }
     const duration remaining = call->deadline - millis_clock::now();
     http_request message = m_protocol.encode(*call->request, call->target->entry, remaining);
@@ -290,10 +347,20 @@
     const bool isMismatched = result.isMismatched;
     if (isMismatched)
         m_events.add("leaf_foreign_replies");
+    const reply_signals signals = result.signals;
+    const unsigned status = result.reply.status;
     complete(*call, std::move(result));
+    applySignals(*target, signals, status);
     co_return keep && !isMismatched && self->http.isOpen();
 }
 
+// Whether `call` is still wanted, has time left, and its target accepts requests. To be asked again
+// after each wait.
+bool leaf_pool::mayBeSent(const leaf_call &call) const
+{
+    return !call.cancelled && millis_clock::now() < call.deadline && acceptsRequests(*call.target);
+}
+
 // Connects, or reconnects if the target has closed the connection.
 asio::awaitable<bool> leaf_pool::ensureConnected(std::shared_ptr<pooled_connection> self,
                                                  leaf_call &call)
@@ -316,6 +383,11 @@
 
 void leaf_pool::completeWithFailure(leaf_call &call, const http_failure &failure)
 {
+    if (failure.isTooLarge) {
+        m_events.add("leaf_replies_too_large");
+        m_log.write("target_reply_too_large",
+                    { { "target", call.target->entry.id }, { "reason", failure.reason } });
+    }
     leaf_call_result result;
     if (call.cancelled)
         result.outcome = attempt_outcome::abandoned;
@@ -340,7 +412,10 @@
 
 void leaf_pool::complete(leaf_call &call, leaf_call_result result)
 {
-    call.target->health.onEnded(call.ticket, result.outcome, result.load, millis_clock::now());
+    // A backoff takes the place of what a failure costs.
+    const attempt_outcome observed
+        = result.signals.retryAfter ? attempt_outcome::abandoned : result.outcome;
+    call.target->health.onEnded(call.ticket, observed, result.load, millis_clock::now());
     m_events.add("leaf_calls_" + std::string(nameOf(result.outcome)));
     call.completionQueue->put(
         { call.shard, call.attempt, call.target->entry.id, std::move(result) });
--- a/gooseberrymoor/forward/leaf_pool.h
+++ b/gooseberrymoor/forward/leaf_pool.h
@@ -4,10 +4,12 @@
 #include "gooseberrymoor/base/signal.h"
 #include "gooseberrymoor/forward/leaf_call.h"
 #include "gooseberrymoor/forward/leaf_call_result.h"
+#include "gooseberrymoor/http/reply_limits.h"
 
 #include <deque>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -15,20 +17,32 @@
 namespace gooseberrymoor {
 
 class counters;
+class event_log;
 class http_connection;
 class leaf_protocol;
 class replica_set;
 class replica_subset;
 struct http_failure;
 
-// Pool of connections from one node to the targets, with one task per connection. The
-// `replica_subset` limits the number of connections. Not thread-safe. Arguments passed by reference
-// must outlive the executor's last task.
+// Dependencies of the `leaf_pool`. All must outlive the executor's last task.
+struct leaf_pool_dependencies
+{
+    const leaf_protocol &protocol;
+    replica_set &replicas; // receives what targets ask for in their replies
+    const replica_subset &subset; // limits the number of connections
+    event_log &log;
+    counters &events;
+};
+
+// Pool of connections from one node to the targets, with one task per connection. A request that
+// has not been sent when its target asks for no more requests completes as not run. Not
+// thread-safe.
 class leaf_pool
 {
 public:
-    leaf_pool(asio::any_io_executor executor, const leaf_protocol &protocol,
-              const replica_subset &subset, counters &events);
+    // `seed` is for the jitter of backoffs.
+    leaf_pool(asio::any_io_executor executor, leaf_pool_dependencies dependencies,
+              std::uint32_t seed);
     ~leaf_pool();
 
     // Sends `call` immediately if a connection is idle or may be opened; queues it otherwise.
@@ -42,10 +56,11 @@
     // processing it.
     void cancel(const std::shared_ptr<leaf_call> &call);
 
-    // Reconciles the connections with `replicas`: opens a connection to each target in this node's
-    // subset before the first request, closes idle connections to other targets, and completes
-    // calls queued for a target that is no longer eligible as not run.
-    void reconcile(const replica_set &replicas);
+    // Reconciles the connections with the known targets: opens a connection to each target in this
+    // node's subset before the first request, closes idle connections to other targets and to
+    // targets that are leaving, and completes calls queued for a target that is no longer eligible
+    // as not run.
+    void reconcile();
 
     // Closes idle connections; calls in progress continue.
     void closeIdle();
@@ -68,7 +83,8 @@
                                         std::shared_ptr<leaf_call> call);
     asio::awaitable<std::shared_ptr<leaf_call>> nextCall(target_connections_ptr target,
                                                          std::shared_ptr<pooled_connection> self);
-    asio::awaitable<bool> performCall(std::shared_ptr<pooled_connection> self,
+    asio::awaitable<bool> performCall(target_connections_ptr target,
+                                      std::shared_ptr<pooled_connection> self,
                                       std::shared_ptr<leaf_call> call);
     asio::awaitable<bool> connect(std::shared_ptr<pooled_connection> self, known_replica &target,
                                   time_point deadline);
@@ -79,12 +95,19 @@
     void failQueuedCalls(target_connections &target);
     void completeUnsent(leaf_call &call);
     void completeWithFailure(leaf_call &call, const http_failure &failure);
+    bool mayBeSent(const leaf_call &call) const;
+    bool acceptsRequests(const known_replica &target) const;
+    void applySignals(target_connections &target, const reply_signals &signals, unsigned status);
     void complete(leaf_call &call, leaf_call_result result);
 
     asio::any_io_executor m_executor;
     const leaf_protocol &m_protocol;
+    replica_set &m_replicas;
     const replica_subset &m_subset;
+    event_log &m_log;
     counters &m_events;
+    reply_limits m_replyLimits;
+    std::minstd_rand m_random;
     std::map<known_replica *, target_connections_ptr> m_targets;
 };
 
--- a/gooseberrymoor/forward/leaf_pool_test.cpp
+++ b/gooseberrymoor/forward/leaf_pool_test.cpp
@@ -9,6 +9,7 @@
 #include "gooseberrymoor/replica/replica_set.h"
 #include "gooseberrymoor/replica/replica_subset.h"
 #include "gooseberrymoor/routing/routing_configuration.h"
+#include "testing/silent_log.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -24,6 +25,7 @@
 namespace {
 
 constexpr duration max_wait_time { 10'000 };
+constexpr duration backoff_time { 300 };
 const std::string good_reply = "HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 4\r\n\r\nbody";
 
 // Sends the attempt id in the header field "Id", and expects it in the reply.
@@ -42,6 +44,9 @@
         result.isMismatched = headerValue(reply.headers, "Id") != attemptId;
         if (!result.isMismatched)
             result.outcome = attempt_outcome::answered;
+        result.signals.isLeaving = !headerValue(reply.headers, "Leaving").empty();
+        if (!headerValue(reply.headers, "Pause").empty())
+            result.signals.retryAfter = backoff_time;
         result.reply = std::move(reply);
         return result;
     }
@@ -156,7 +161,8 @@
     echo_protocol protocol;
     replica_set replicas;
     replica_subset subset { replicas, "node-1", "a" };
-    leaf_pool pool { context.get_executor(), protocol, subset, events };
+    silent_log log;
+    leaf_pool pool { context.get_executor(), { protocol, replicas, subset, log, events }, 1 };
     std::shared_ptr<known_replica> known = std::make_shared<known_replica>();
     std::shared_ptr<leaf_completion_queue> completionQueue
         = std::make_shared<leaf_completion_queue>(context.get_executor());
@@ -206,7 +212,7 @@
         env.send("a1");
         env.context.run_for(duration(50));
         env.known->entry.draining = true;
-        env.pool.reconcile(env.replicas);
+        env.pool.reconcile();
         CHECK(env.next().outcome == attempt_outcome::unreachable);
         CHECK(env.target.requests == 2);
         CHECK(env.known->health.outstanding() == 2);
@@ -307,7 +313,7 @@
         CHECK(env.next().outcome == attempt_outcome::answered);
         CHECK(env.pool.openConnections() == 1);
         env.known->removed = true;
-        env.pool.reconcile(replica_set());
+        env.pool.reconcile();
         env.context.run_for(duration(50));
         CHECK(env.pool.openConnections() == 0);
     }
@@ -318,3 +324,77 @@
         CHECK(env.next().outcome == attempt_outcome::unreachable);
     }
 }
+
+TEST_CASE("A target asks in its replies for no more requests")
+{
+    fixture env;
+    const std::string leaving
+        = "HTTP/1.1 200 OK\r\nId: a1\r\nLeaving: 1\r\nContent-Length: 4\r\n\r\nbody";
+    const std::string pause
+        = "HTTP/1.1 503 Busy\r\nId: a1\r\nPause: 1\r\nContent-Length: 0\r\n\r\n";
+
+    SUBCASE("because it is leaving")
+    {
+        env.target.replies = { { leaving } };
+        env.send("a1");
+        SUBCASE("and its reply still counts, but the connection closes")
+        {
+            const leaf_call_result result = env.next();
+            CHECK(result.outcome == attempt_outcome::answered);
+            CHECK(result.reply.body == "body");
+            CHECK(!env.replicas.isEligible(*env.known));
+            CHECK(env.pool.openConnections() == 0);
+            SUBCASE("and a request planned before is not sent")
+            {
+                env.send("a1");
+                CHECK(env.next().outcome == attempt_outcome::unreachable);
+                CHECK(env.target.requests == 1);
+            }
+        }
+        SUBCASE("and requests in its queue go elsewhere, while a sent one continues")
+        {
+            env.send("a1");
+            env.send("a1");
+            CHECK(env.next().outcome == attempt_outcome::answered);
+            CHECK(env.next().outcome == attempt_outcome::unreachable);
+            CHECK(env.target.requests == 2);
+            CHECK(env.known->health.outstanding() == 1);
+        }
+        SUBCASE("also in a reply that is late and belongs to another request")
+        {
+            env.target.replies = { { "HTTP/1.1 200 OK\r\nId: a0\r\nLeaving: 1\r\n"
+                                     "Content-Length: 0\r\n\r\n" } };
+            CHECK(env.next().outcome == attempt_outcome::lost);
+            CHECK(env.known->backpressure.isLeaving());
+        }
+        SUBCASE("also in a reply to a request that is no longer needed")
+        {
+            const auto late = env.send("a1");
+            late->cancelled = true; // its caller has an answer from another target
+            env.next();
+            CHECK(env.known->backpressure.isLeaving());
+        }
+    }
+    SUBCASE("for a while, because it is overloaded")
+    {
+        env.target.replies = { { pause } };
+        env.send("a1");
+        env.send("a1");
+        env.send("a1");
+        env.next();
+        CHECK(env.known->backpressure.isBackingOff(millis_clock::now()));
+        SUBCASE("and requests in its queue go elsewhere at once")
+        {
+            CHECK(env.next().outcome == attempt_outcome::unreachable);
+            CHECK(env.target.requests == 2);
+        }
+        SUBCASE("and it is used again after that time")
+        {
+            env.next();
+            env.context.run_for(backoff_time + backoff_time / 2);
+            env.target.replies = { { good_reply } };
+            env.send("a1");
+            CHECK(env.next().outcome == attempt_outcome::answered);
+        }
+    }
+}
--- a/gooseberrymoor/forward/load_shedder.cpp
+++ b/gooseberrymoor/forward/load_shedder.cpp
@@ -33,7 +33,7 @@
 {
     std::optional<double> minQueued;
     for (const auto &each : replicas.of(service)) {
-        if (!replicas.isEligible(*each))
+        if (!replicas.isEligible(*each) || each->backpressure.isBackingOff(now))
             continue;
         const auto waiting = each->health.reportedQueueLength(now, max_report_age);
         if (!waiting)
--- a/gooseberrymoor/forward/request_run.cpp
+++ b/gooseberrymoor/forward/request_run.cpp
@@ -34,7 +34,12 @@
     if (attempts.size() >= requiredShards())
         return attempts;
     // Too few shards have a target for a success, so nothing is sent.
-    m_shards.assign(m_shards.size(), shard_state());
+    for (shard_state &state : m_shards) {
+        shard_state unsent;
+        unsent.availableAt = state.availableAt;
+        unsent.isUnavailable = state.isUnavailable;
+        state = unsent;
+    }
     return {};
 }
 
@@ -123,6 +128,16 @@
     });
 }
 
+time_point request_run::enoughAvailableAt() const
+{
+    std::vector<time_point> times;
+    for (const shard_state &state : m_shards)
+        times.push_back(state.isUnavailable ? state.availableAt : time_point());
+    const auto last = times.begin() + static_cast<std::ptrdiff_t>(requiredShards() - 1);
+    std::nth_element(times.begin(), last, times.end());
+    return *last;
+}
+
 bool request_run::hasOutstanding() const
 {
     return std::any_of(m_shards.begin(), m_shards.end(),
@@ -142,15 +157,15 @@
     }
     state.isBudgetExhausted = false;
     auto target = m_selector.choose(service, state.triedTargets, now);
-    if (!target && reason == send_reason::retry && !state.mayHaveRun) {
-        state.triedTargets.clear(); // all targets refused: start over after a delay
-        state.retryAt = now + retry_delay;
-        return;
-    }
     if (!target) {
+        if (reason == send_reason::retry && !state.mayHaveRun)
+            state.triedTargets.clear(); // all targets refused: start over after a delay
         state.retryAt = now + retry_delay;
+        state.availableAt = m_selector.availableAt(service, now);
+        state.isUnavailable = state.availableAt > now;
         return;
     }
+    state.isUnavailable = false;
     if (isRepeat)
         m_budget.onRepeated(service, now);
     state.triedTargets.insert(target->entry.id);
@@ -181,6 +196,8 @@
 {
     if (state.answered || !state.outstanding.empty())
         return false;
+    if (state.isUnavailable)
+        return true;
     if (state.isBudgetExhausted && state.mayHaveRun)
         return true; // the budget will not recover before the caller's deadline
     return !mayRetry(state) || state.possibleRuns + state.refusals == 0;
--- a/gooseberrymoor/forward/request_run.h
+++ b/gooseberrymoor/forward/request_run.h
@@ -51,6 +51,11 @@
     // Whether it is certain that no target has executed or will execute the request.
     bool hasDefinitelyNotRun() const;
 
+    // Earliest time at which enough shards for a success have a target that accepts requests, as
+    // far as the last selections showed. A time in the past if they already had one, and
+    // `time_point::max()` if no target is eligible.
+    time_point enoughAvailableAt() const;
+
     // Whether an attempt is still in progress.
     bool hasOutstanding() const;
 
@@ -66,6 +71,8 @@
         unsigned refusals = 0; // attempts that were certainly not executed
         bool answered = false;
         bool mayHaveRun = false; // a completed attempt may have been executed
+        time_point availableAt {}; // of a target, after a selection found none
+        bool isUnavailable = false; // no target accepted requests at the last selection
         bool isBudgetExhausted = false; // the budget did not allow the last hedge or retry
         bool mayHaveReachedTarget = false; // so that further attempts count as repeats
         time_point lastSent {};
--- a/gooseberrymoor/forward/request_run_test.cpp
+++ b/gooseberrymoor/forward/request_run_test.cpp
@@ -33,7 +33,14 @@
         return nullptr;
     }
 
+    time_point availableAt(const std::string &service, time_point now) const override
+    {
+        const auto found = available.find(service);
+        return found == available.end() ? now : found->second;
+    }
+
     std::map<std::string, int> targets;
+    std::map<std::string, time_point> available; // by service; `now` if absent
 };
 
 run_plan shardedPlan(std::size_t shards)
@@ -357,3 +364,77 @@
         }
     }));
 }
+
+TEST_CASE("A request whose targets accept no more requests")
+{
+    fixture env;
+    const auto targetsGone = [&env](const std::string &service) {
+        env.selector.targets[service] = 0;
+        env.selector.available[service] = time_point::max();
+    };
+    const auto targetsBackOff = [&env](const std::string &service, duration time) {
+        env.selector.targets[service] = 0;
+        env.selector.available[service] = start + time;
+    };
+
+    SUBCASE("to one shard of many, whose last target refuses it and leaves")
+    {
+        request_run run(shardedPlan(4), env.selector, env.budget);
+        const auto first = run.start(start);
+        for (std::size_t shard = 0; shard < 3; ++shard)
+            run.onAttemptEnded(shard, first[shard].attempt, attempt_outcome::answered, start);
+        targetsGone("s3");
+        run.onAttemptEnded(3, first[3].attempt, attempt_outcome::refused, start + duration(5));
+        SUBCASE("is answered at once without that shard")
+        {
+            CHECK(run.isComplete(start + duration(5)));
+            CHECK(run.isSuccess());
+            CHECK(run.answered() == 3);
+        }
+    }
+    SUBCASE("to more shards than may be missing")
+    {
+        targetsBackOff("s0", duration(80));
+        targetsBackOff("s1", duration(60));
+        targetsBackOff("s2", duration(40));
+        request_run run(shardedPlan(4), env.selector, env.budget);
+        SUBCASE("is sent nowhere and ends at once")
+        {
+            CHECK(run.start(start).empty());
+            CHECK(run.isComplete(start));
+            CHECK(run.hasDefinitelyNotRun());
+        }
+        SUBCASE("can be repeated when enough shards accept requests again")
+        {
+            run.start(start);
+            CHECK(run.enoughAvailableAt() == start + duration(60)); // three shards of four
+        }
+    }
+    SUBCASE("to a single target that refuses it and asks for a pause")
+    {
+        request_run run(singlePlan(request_kind::non_idempotent), env.selector, env.budget);
+        const auto first = run.start(start);
+        targetsBackOff("registry", duration(700));
+        run.onAttemptEnded(0, first[0].attempt, attempt_outcome::refused, start + duration(5));
+        CHECK(run.isComplete(start + duration(5)));
+        CHECK(run.hasDefinitelyNotRun());
+        CHECK(run.enoughAvailableAt() == start + duration(700));
+    }
+    SUBCASE("to a single target that may have run it is not a refusal")
+    {
+        request_run run(singlePlan(request_kind::idempotent), env.selector, env.budget);
+        const auto first = run.start(start);
+        targetsGone("registry");
+        run.onAttemptEnded(0, first[0].attempt, attempt_outcome::lost, start + duration(5));
+        CHECK(run.isComplete(start + duration(5)));
+        CHECK(!run.hasDefinitelyNotRun());
+    }
+    SUBCASE("goes on when the targets refuse without asking for a pause")
+    {
+        request_run run(singlePlan(request_kind::idempotent), env.selector, env.budget);
+        const auto first = run.start(start);
+        env.selector.targets["registry"] = 0;
+        run.onAttemptEnded(0, first[0].attempt, attempt_outcome::refused, start + duration(5));
+        CHECK(!run.isComplete(start + duration(5)));
+    }
+}
--- a/gooseberrymoor/http/http_connection.cpp
+++ b/gooseberrymoor/http/http_connection.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrymoor/http/http_connection.h"
 
+#include "gooseberrymoor/http/byte_reservation.h"
 #include "gooseberrymoor/http/http_headers.h"
 #include "gooseberrymoor/http/operation_deadline.h"
 
@@ -10,6 +11,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
 
@@ -20,7 +22,10 @@
 namespace beast = boost::beast;
 using tcp = asio::ip::tcp;
 
-constexpr std::uint64_t max_reply_bytes = 64ULL * 1024 * 1024;
+// Bytes received and not parsed yet. Bounds what no other limit does, such as a chunk's extensions.
+constexpr std::size_t max_buffered_bytes = 32ULL * 1024;
+constexpr unsigned max_interim_replies = 8; // before the final reply
+constexpr unsigned first_final_status = 200;
 constexpr unsigned http_version_1_1 = 11;
 // TCP closes a connection whose sent data stays unacknowledged for this long.
 constexpr int tcp_user_timeout_ms = 3000;
@@ -28,7 +33,15 @@
 
 http_failure makeFailure(verdict outcome, bool timedOut, const boost::system::error_code &error)
 {
-    return { outcome, timedOut, timedOut ? "timed out" : error.message() };
+    const bool isTooLarge = error == beast::http::error::body_limit
+        || error == beast::http::error::header_limit
+        || error == beast::http::error::buffer_overflow;
+    return { outcome, timedOut, timedOut ? "timed out" : error.message(), isTooLarge };
+}
+
+http_failure tooLarge(std::string reason)
+{
+    return { verdict::may_have_run, false, std::move(reason), true };
 }
 
 // Returns the timeout in a Keep-Alive header such as "timeout=5, max=100"; 0 if it has none.
@@ -44,6 +57,13 @@
     return seconds;
 }
 
+// The memory that `body` occupies while it grows. Capacity beyond twice its size was reserved for
+// its announced length and is not in use yet.
+std::size_t memoryOf(const std::string &body)
+{
+    return std::min(body.capacity(), 2 * body.size());
+}
+
 http_reply toReply(beast::http::response<beast::http::string_body> message)
 {
     http_reply reply(message.result_int(), std::move(message.body()),
@@ -63,14 +83,18 @@
 
 struct http_connection::implementation
 {
-    explicit implementation(asio::any_io_executor executor) : socket(executor) { }
+    implementation(asio::any_io_executor executor, reply_limits replyLimits)
+        : socket(executor), limits(std::move(replyLimits))
+    {
+    }
     tcp::socket socket;
-    beast::flat_buffer buffer;
+    reply_limits limits;
+    beast::flat_buffer buffer { max_buffered_bytes };
     std::string host;
 };
 
-http_connection::http_connection(asio::any_io_executor executor)
-    : m_implementation(std::make_unique<implementation>(std::move(executor)))
+http_connection::http_connection(asio::any_io_executor executor, reply_limits limits)
+    : m_implementation(std::make_unique<implementation>(std::move(executor), std::move(limits)))
 {
 }
 
@@ -125,22 +149,50 @@
         const verdict outcome = written == 0 ? verdict::not_run : verdict::may_have_run;
         co_return tl::unexpected(makeFailure(outcome, limit.hasPassed(), writeError));
     }
-    beast::http::response_parser<beast::http::string_body> parser;
-    parser.body_limit(max_reply_bytes);
-    const auto [readError, read]
-        = co_await beast::http::async_read(socket, m_implementation->buffer, parser, as_result);
-    if (readError) {
-        close();
-        co_return tl::unexpected(makeFailure(verdict::may_have_run, limit.hasPassed(), readError));
-    }
-    const bool hasExplicitLength = parser.content_length() || parser.chunked();
-    http_reply reply = toReply(parser.release());
-    reply.hasTrailingBytes = m_implementation->buffer.size() > 0;
-    if (reply.closeAfter || reply.hasTrailingBytes || !hasExplicitLength)
+    auto reply = co_await readReply(deadline);
+    if (!reply)
         close();
     co_return reply;
 }
 
+asio::awaitable<tl::expected<http_reply, http_failure>>
+http_connection::readReply(time_point deadline)
+{
+    auto &[socket, limits, buffer, host] = *m_implementation;
+    operation_deadline limit(socket, deadline);
+    for (unsigned interim = 0; interim <= max_interim_replies; ++interim) {
+        beast::http::response_parser<beast::http::string_body> parser;
+        parser.header_limit(limits.headerBytes);
+        parser.body_limit(limits.bodyBytes);
+        const auto [headerError, headerSize]
+            = co_await beast::http::async_read_header(socket, buffer, parser, as_result);
+        if (headerError)
+            co_return tl::unexpected(
+                makeFailure(verdict::may_have_run, limit.hasPassed(), headerError));
+        if (parser.get().result_int() < first_final_status)
+            continue;
+        const auto reservation
+            = std::make_shared<byte_reservation>(limits.bodyBudget, limits.freeBodyBytes);
+        while (!parser.is_done()) {
+            const auto [error, size]
+                = co_await beast::http::async_read_some(socket, buffer, parser, as_result);
+            if (error)
+                co_return tl::unexpected(
+                    makeFailure(verdict::may_have_run, limit.hasPassed(), error));
+            if (!reservation->growTo(memoryOf(parser.get().body())))
+                co_return tl::unexpected(tooLarge("no memory left for the reply"));
+        }
+        const bool hasExplicitLength = parser.content_length() || parser.chunked();
+        http_reply reply = toReply(parser.release());
+        reply.reservation = reservation;
+        reply.hasTrailingBytes = buffer.size() > 0;
+        if (reply.closeAfter || reply.hasTrailingBytes || !hasExplicitLength)
+            close();
+        co_return reply;
+    }
+    co_return tl::unexpected(tooLarge("too many interim replies"));
+}
+
 bool http_connection::isOpen() const
 {
     return m_implementation->socket.is_open();
--- a/gooseberrymoor/http/http_connection.h
+++ b/gooseberrymoor/http/http_connection.h
@@ -5,6 +5,7 @@
 #include "gooseberrymoor/base/net.h"
 #include "gooseberrymoor/http/http_failure.h"
 #include "gooseberrymoor/http/http_message.h"
+#include "gooseberrymoor/http/reply_limits.h"
 
 #include <tl/expected.hpp>
 
@@ -17,7 +18,7 @@
 class http_connection
 {
 public:
-    explicit http_connection(asio::any_io_executor executor);
+    explicit http_connection(asio::any_io_executor executor, reply_limits limits = {});
     ~http_connection();
     http_connection(http_connection &&) noexcept;
     http_connection &operator=(http_connection &&) noexcept;
@@ -25,7 +26,8 @@
     // Connects to `server`. A failure always has the outcome `not_run`.
     asio::awaitable<tl::expected<void, http_failure>> connect(endpoint server, time_point deadline);
 
-    // Sends `request` and reads the reply. Closes the connection if sending or reading fails.
+    // Sends `request` and reads the reply; interim replies (1xx) are skipped. Closes the connection
+    // if sending or reading fails, or if the reply exceeds a limit.
     asio::awaitable<tl::expected<http_reply, http_failure>> exchange(http_request request,
                                                                      time_point deadline);
 
@@ -40,6 +42,8 @@
     void close();
 
 private:
+    asio::awaitable<tl::expected<http_reply, http_failure>> readReply(time_point deadline);
+
     struct implementation;
     std::unique_ptr<implementation> m_implementation;
 };
--- a/gooseberrymoor/http/http_failure.h
+++ b/gooseberrymoor/http/http_failure.h
@@ -12,6 +12,7 @@
     verdict outcome = verdict::not_run;
     bool timedOut = false;
     std::string reason;
+    bool isTooLarge = false; // the reply exceeded a limit of its size
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/http/http_message.h
+++ b/gooseberrymoor/http/http_message.h
@@ -7,6 +7,7 @@
 
 namespace gooseberrymoor {
 
+class byte_reservation;
 class cancellation;
 class http_body_source;
 
@@ -50,6 +51,7 @@
     bool closeAfter = false; // the server closes the connection after this reply
     int keepAliveSeconds = 0; // idle timeout from the server's Keep-Alive field; 0 if absent
     bool hasTrailingBytes = false; // unsolicited bytes followed this reply
+    std::shared_ptr<byte_reservation> reservation; // of a received body; held as long as the body
     std::shared_ptr<http_body_source> bodySource; // if set, provides the body, sent in chunks
 };
 
--- a/gooseberrymoor/http/http_server.cpp
+++ b/gooseberrymoor/http/http_server.cpp
@@ -275,6 +275,7 @@
                 co_return;
             continue;
         }
+        const auto reservation = reply.reservation; // the body occupies memory until it is sent
         const auto message = toMessage(std::move(reply), version, keepAlive);
         operation_deadline limit(socket, millis_clock::now() + reply_write_timeout);
         const auto [writeError, written] = co_await http::async_write(socket, message, as_result);
--- a/gooseberrymoor/replica/expected_wait_selector.cpp
+++ b/gooseberrymoor/replica/expected_wait_selector.cpp
@@ -45,7 +45,7 @@
     std::shared_ptr<known_replica> best;
     double bestWait = std::numeric_limits<double>::max();
     for (const auto &each : m_replicas.of(service)) {
-        if (!m_replicas.isEligible(*each) || excluded.contains(each->entry.id))
+        if (!m_replicas.mayReceive(*each, now) || excluded.contains(each->entry.id))
             continue;
         const double wait = expectedWaitMs(*each, baseline, now);
         if (wait < bestWait && m_coldLimiter.maySendNow(*each, now)) {
@@ -58,6 +58,16 @@
     return best;
 }
 
+time_point expected_wait_selector::availableAt(const std::string &service, time_point now) const
+{
+    time_point earliest = time_point::max();
+    for (const auto &each : m_replicas.of(service)) {
+        if (m_replicas.isEligible(*each))
+            earliest = std::min(earliest, std::max(now, each->backpressure.backoffUntil()));
+    }
+    return earliest;
+}
+
 double expected_wait_selector::expectedWaitMs(const known_replica &target, double baselineMs,
                                               time_point now) const
 {
--- a/gooseberrymoor/replica/expected_wait_selector.h
+++ b/gooseberrymoor/replica/expected_wait_selector.h
@@ -28,6 +28,8 @@
                                           const std::set<std::string> &excluded,
                                           time_point now) override;
 
+    time_point availableAt(const std::string &service, time_point now) const override;
+
 private:
     double expectedWaitMs(const known_replica &target, double baselineMs, time_point now) const;
 
--- a/gooseberrymoor/replica/replica_set.cpp
+++ b/gooseberrymoor/replica/replica_set.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::size_t max_removed_replicas = 4096; // whose requests to be spared are remembered
+
 bool isSameInstance(const replica &left, const replica &right)
 {
     return left.incarnation == right.incarnation && left.service == right.service
@@ -30,6 +32,9 @@
     auto added = std::make_shared<known_replica>();
     added->entry = entry;
     added->coldUntil = now + entry.coldRemaining;
+    if (const auto earlier = m_removed.extract(entry.id);
+        earlier && earlier.mapped().incarnation == entry.incarnation)
+        added->backpressure = earlier.mapped().backpressure;
     m_byId[entry.id] = added;
     auto &serviceTargets = m_byService[entry.service];
     const auto position = std::find_if(serviceTargets.begin(), serviceTargets.end(),
@@ -44,6 +49,7 @@
         return;
     const auto removedTarget = found->second;
     removedTarget->removed = true;
+    remember(*removedTarget);
     ++m_generation;
     m_byId.erase(found);
     auto &serviceTargets = m_byService[removedTarget->entry.service];
@@ -52,6 +58,31 @@
         m_byService.erase(removedTarget->entry.service);
 }
 
+// Without an incarnation, a later start could not be told from the one that asked.
+void replica_set::remember(const known_replica &target)
+{
+    if (!target.backpressure.isSet() || target.entry.incarnation == 0)
+        return;
+    m_removed[target.entry.id] = { target.entry.incarnation, target.backpressure };
+    if (m_removed.size() <= max_removed_replicas)
+        return;
+    m_removed.erase(std::min_element(m_removed.begin(), m_removed.end(),
+                                     [](const auto &left, const auto &right) {
+                                         return left.second.incarnation < right.second.incarnation;
+                                     }));
+}
+
+backpressure_change replica_set::onReply(known_replica &target, const reply_signals &signals,
+                                         double jitter, time_point now)
+{
+    const backpressure_change change = target.backpressure.onReply(signals, jitter, now);
+    if (change.leavingStarted)
+        ++m_generation;
+    if (target.removed && (change.leavingStarted || change.backoffStarted))
+        remember(target);
+    return change;
+}
+
 void replica_set::setZonesOut(std::set<std::string> zones)
 {
     m_zonesOut = std::move(zones);
@@ -67,10 +98,15 @@
 
 bool replica_set::isEligible(const known_replica &target) const
 {
-    return !target.removed && !target.entry.draining
+    return !target.removed && !target.entry.draining && !target.backpressure.isLeaving()
         && !m_zonesOut.contains(target.entry.availabilityZone);
 }
 
+bool replica_set::mayReceive(const known_replica &target, time_point now) const
+{
+    return isEligible(target) && target.backpressure.mayReceive(target.health.outstanding(), now);
+}
+
 std::shared_ptr<known_replica> replica_set::find(const std::string &id) const
 {
     const auto found = m_byId.find(id);
--- a/gooseberrymoor/tier/fleet_node.cpp
+++ b/gooseberrymoor/tier/fleet_node.cpp
@@ -34,7 +34,7 @@
       m_subset(m_replicas, m_settings.own.name, m_settings.own.availabilityZone),
       m_selector(m_replicas, m_subset, m_coldLimiter, m_settings.own.availabilityZone),
       m_repeatBudget(m_settings.repeats), m_loadShedder(m_replicas, std::random_device()()),
-      m_pool(executor, protocol, m_subset, counters),
+      m_pool(executor, { protocol, m_replicas, m_subset, log, counters }, std::random_device()()),
       m_forwarder(executor, { m_pool, m_selector, m_repeatBudget, m_loadShedder, log, counters }),
       m_operatorKeys(decoder, m_replicas, log, [this] { onConfiguration(); }),
       m_replicaKeys(decoder, m_replicas, log, counters),
@@ -144,7 +144,7 @@
         m_fleet.onTime(millis_clock::now());
         if (m_fleet.generation() != m_appliedFleetGeneration)
             onFleetChange();
-        m_pool.reconcile(m_replicas);
+        m_pool.reconcile();
         co_await m_wake.wait(millis_clock::now() + change_check_interval);
     }
 }
--- a/gooseberrymoor/tier/state_page.cpp
+++ b/gooseberrymoor/tier/state_page.cpp
@@ -60,6 +60,14 @@
     return nodes;
 }
 
+// The age of a target's notice that it is leaving; null if it gave none.
+json::value leavingAge(const replica_backpressure &backpressure, time_point now)
+{
+    if (!backpressure.isLeaving())
+        return nullptr;
+    return (now - backpressure.leavingSince()).count();
+}
+
 json::object targetState(const fleet_node &tier, const known_replica &target, time_point now)
 {
     const replica &entry = target.entry;
@@ -71,6 +79,9 @@
              { "version", entry.version },
              { "standing", std::string(nameOf(tier.eligibilityOf(target, now))) },
              { "cold_ms", std::max<duration::rep>(0, (target.coldUntil - now).count()) },
+             { "leaving_for_ms", leavingAge(target.backpressure, now) },
+             { "backoff_ms",
+               std::max<duration::rep>(0, (target.backpressure.backoffUntil() - now).count()) },
              { "outstanding", health.outstanding() },
              { "oldest_wait_ms", health.oldestRequestAge(now).count() },
              { "latency_ms", health.averageLatencyMs() },
--- a/gooseberrymoor/tier/target_eligibility.cpp
+++ b/gooseberrymoor/tier/target_eligibility.cpp
@@ -11,8 +11,12 @@
 {
     if (target.entry.draining)
         return target_eligibility::draining;
+    if (target.backpressure.isLeaving())
+        return target_eligibility::leaving;
     if (!inputs.replicas.isEligible(target))
         return target_eligibility::zone_out;
+    if (target.backpressure.isBackingOff(now))
+        return target_eligibility::backing_off;
     if (!inputs.coldLimiter.maySendNow(target, now))
         return target_eligibility::cold;
     if (target.health.isSuspect(now))
--- a/gooseberrymoor/tier/target_eligibility.h
+++ b/gooseberrymoor/tier/target_eligibility.h
@@ -16,17 +16,21 @@
     fallback, // the node keeps connections to other targets and uses this one if they fail
     suspect, // failed recently; other targets are tried first
     cold, // another node is assigned to warm it up, or its rate limit is reached
-    draining, // the target is leaving the service
+    draining, // the target is leaving the service, by its entry
+    leaving, // the target said in a reply that it is leaving
+    backing_off, // the target asked in a reply for no requests for a while
     zone_out, // operators have taken its availability zone out of service
 };
 
-constexpr name_table<target_eligibility, 6> names(target_eligibility)
+constexpr name_table<target_eligibility, 8> names(target_eligibility)
 {
     return { { { target_eligibility::preferred, "preferred" },
                { target_eligibility::fallback, "for_need" },
                { target_eligibility::suspect, "suspect" },
                { target_eligibility::cold, "cold" },
                { target_eligibility::draining, "draining" },
+               { target_eligibility::leaving, "leaving" },
+               { target_eligibility::backing_off, "backing_off" },
                { target_eligibility::zone_out, "zone_out" } } };
 }
 
--- a/testing/platform_stand_in/leaf_stand_in.cpp
+++ b/testing/platform_stand_in/leaf_stand_in.cpp
@@ -31,10 +31,11 @@
 asio::awaitable<http_reply> leaf_stand_in::handle(http_request request)
 {
     const std::string attempt(headerValue(request.headers, platform::attempt_id_field));
+    ++m_arrivals;
     if (headerValue(request.headers, platform::expected_instance_field) != m_id)
-        co_return notExecuted(421);
+        co_return withOwnState(notExecuted(421));
     if (m_faultMode == leaf_fault_mode::full)
-        co_return notExecuted(503);
+        co_return refusal(503);
     ++m_runs;
     ++m_runsById[attempt];
     timer work(co_await asio::this_coro::executor, millis_clock::now() + m_latency);
@@ -45,7 +46,29 @@
     reply.headers.emplace_back(platform::attempt_id_field, attempt);
     reply.headers.emplace_back(platform::signature_field, m_id + "." + attempt);
     reply.headers.emplace_back(platform::load_field, "1,0," + std::to_string(slots));
-    co_return reply;
+    co_return withOwnState(std::move(reply));
+}
+
+// Adds what the target says of itself in every answer.
+http_reply leaf_stand_in::withOwnState(http_reply reply) const
+{
+    if (m_leaving)
+        reply.headers.emplace_back(platform::leaving_field, "1");
+    return reply;
+}
+
+http_reply leaf_stand_in::refusal(unsigned status) const
+{
+    http_reply reply = notExecuted(status);
+    if (!m_retryAfter.empty())
+        reply.headers.emplace_back(platform::retry_after_field, m_retryAfter);
+    return withOwnState(std::move(reply));
+}
+
+void leaf_stand_in::restart()
+{
+    ++m_incarnation;
+    m_leaving = false;
 }
 
 http_reply leaf_stand_in::refuse(error_kind)
@@ -55,15 +78,11 @@
 
 std::string leaf_stand_in::entry(const std::string &state) const
 {
-    const boost::json::object body { { "service", m_service },
-                                     { "address", toString(m_address) },
-                                     { "zone", m_zone },
-                                     { "version", "v1" },
-                                     { "slots", slots },
-                                     { "state", state },
-                                     { "cold_remaining_ms", 0 },
-                                     { "sequence", 1 },
-                                     { "born", 1 } };
+    const boost::json::object body { { "service", m_service },   { "address", toString(m_address) },
+                                     { "zone", m_zone },         { "version", "v1" },
+                                     { "slots", slots },         { "state", state },
+                                     { "cold_remaining_ms", 0 }, { "sequence", 1 },
+                                     { "born", m_incarnation } };
     return boost::json::serialize(body);
 }
 
--- a/testing/platform_stand_in/leaf_stand_in.h
+++ b/testing/platform_stand_in/leaf_stand_in.h
@@ -32,12 +32,21 @@
     void setFaultMode(leaf_fault_mode mode) { m_faultMode = mode; }
     void setLatency(duration latency) { m_latency = latency; }
 
+    // Makes all answers say that the target is leaving; its entry in the store stays as it is.
+    void setLeaving(bool leaving) { m_leaving = leaving; }
+
+    // The value of Retry-After in refusals; none if empty.
+    void setRetryAfter(std::string value) { m_retryAfter = std::move(value); }
+
     // Simulates that another target took over the address: requests for the old id are refused.
     void setId(std::string id) { m_id = std::move(id); }
 
     // Sets the address to advertise, if it differs from the listen address.
     void setAddress(endpoint address) { m_address = std::move(address); }
 
+    // Starts the target anew under its id: it forgets that it was leaving.
+    void restart();
+
     // The value that the target registers in the store.
     std::string entry(const std::string &state = "ready") const;
 
@@ -49,7 +58,13 @@
     int runsOf(const std::string &attemptId) const;
     int runs() const { return m_runs; }
 
+    // How many requests have arrived, refused ones included.
+    int arrivals() const { return m_arrivals; }
+
 private:
+    http_reply withOwnState(http_reply reply) const;
+    http_reply refusal(unsigned status) const;
+
     std::string m_id;
     std::string m_service;
     endpoint m_address;
@@ -59,6 +74,10 @@
     duration m_latency { 1 };
     std::map<std::string, int> m_runsById;
     int m_runs = 0;
+    int m_arrivals = 0;
+    int m_incarnation = 1;
+    bool m_leaving = false;
+    std::string m_retryAfter;
 };
 
 } // namespace gooseberrymoor
