Serve requests that have reached a stopping VM before its server closes

Cause: closing the acceptor resets connections that the kernel has accepted and the server has not; a connection whose accept was about to complete was dropped, and one whose request had arrived but was not read yet counted as idle. Ruled out: the node's stop schedule; it only decides on requests that were read. Change: stopAccepting accepts what is pending, unread bytes count as a request, a connection counts as open from its accept on, and a node that stops waits at least once for connections to close.

--- a/gooseberrymoor/http/http_server.cpp
+++ b/gooseberrymoor/http/http_server.cpp
@@ -33,6 +33,7 @@
 constexpr duration no_limit { 24 * 3'600'000 }; // used as the timeout if a limit is 0
 constexpr duration reply_write_timeout { 20'000 }; // for clients that do not read
 constexpr duration linger_timeout { 500 };
+constexpr duration stopping_idle_timeout { 100 }; // of connections accepted just before the stop
 constexpr unsigned http_version_1_1 = 11;
 
 http::response<http::string_body> toMessage(http_reply reply, unsigned version, bool keepAlive)
@@ -120,8 +121,12 @@
     const beast::flat_buffer &buffer;
     const http::request_parser<http::string_body> &parser;
 
-    // Whether any byte of a request has been received.
-    bool hasRequest() const { return buffer.size() > 0 || parser.got_some(); }
+    // Whether any byte of a request has been received, also if it has not been read yet.
+    bool hasRequest() const
+    {
+        boost::system::error_code ignored;
+        return buffer.size() > 0 || parser.got_some() || socket.available(ignored) > 0;
+    }
 };
 
 http_server::http_server(asio::any_io_executor executor, http_handler &handler, counters &events,
@@ -159,6 +164,7 @@
 {
     m_draining = true;
     m_stopping = true;
+    acceptPending();
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
     for (const idle_connection *idle : m_idle) {
@@ -167,11 +173,35 @@
     }
 }
 
+// Accepts the connections that clients have already opened: closing the acceptor would reset them,
+// although their requests may have been sent.
+void http_server::acceptPending()
+{
+    boost::system::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        tcp::socket socket(m_executor);
+        m_acceptor.accept(socket, error);
+        if (!error)
+            startServing(std::move(socket));
+    }
+}
+
+void http_server::startServing(tcp::socket socket)
+{
+    if (!m_handler.onConnectionOpened()) {
+        m_events.add("http_connection_refused");
+        return;
+    }
+    ++m_open;
+    startTask(m_executor, m_events, "http_connection", serve(std::move(socket)));
+}
+
 asio::awaitable<void> http_server::acceptLoop()
 {
     while (!m_stopping) {
         auto [error, socket] = co_await m_acceptor.async_accept(as_result);
-        if (m_stopping)
+        if (error && m_stopping)
             co_return;
         if (error) {
             m_events.add("http_accept_failed");
@@ -179,17 +209,12 @@
             co_await retryTimer.async_wait(as_result);
             continue;
         }
-        if (!m_handler.onConnectionOpened()) {
-            m_events.add("http_connection_refused");
-            continue;
-        }
-        startTask(m_executor, m_events, "http_connection", serve(std::move(socket)));
+        startServing(std::move(socket));
     }
 }
 
 asio::awaitable<void> http_server::serve(tcp::socket socket)
 {
-    ++m_open;
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     try {
@@ -202,6 +227,14 @@
     m_handler.onConnectionClosed();
 }
 
+// How long to wait for the next request on a connection.
+duration http_server::idleTimeout() const
+{
+    if (m_stopping)
+        return stopping_idle_timeout;
+    return m_limits.idleTimeout > duration(0) ? m_limits.idleTimeout : no_limit;
+}
+
 asio::awaitable<http_server::received_request> http_server::readRequest(tcp::socket &socket,
                                                                         beast::flat_buffer &buffer)
 {
@@ -212,8 +245,7 @@
     const idle_connection idle { socket, buffer, parser };
     m_idle.insert(&idle);
     if (buffer.size() == 0) {
-        const auto timeout = m_limits.idleTimeout > duration(0) ? m_limits.idleTimeout : no_limit;
-        operation_deadline limit(socket, millis_clock::now() + timeout);
+        operation_deadline limit(socket, millis_clock::now() + idleTimeout());
         const auto [idleError] = co_await socket.async_wait(tcp::socket::wait_read, as_result);
         result.isConnectionDone = idleError || limit.hasPassed();
     }
--- a/gooseberrymoor/http/http_server.h
+++ b/gooseberrymoor/http/http_server.h
@@ -38,6 +38,8 @@
     void startDraining();
 
     // Stops accepting connections, closes those without a request in progress, and drains the rest.
+    // Requests that have already reached this VM are still served, also on connections that were
+    // not accepted yet.
     void stopAccepting();
 
     // The number of open connections.
@@ -48,6 +50,9 @@
     struct received_request; // a request, or why it could not be read
 
     asio::awaitable<void> acceptLoop();
+    void acceptPending();
+    void startServing(asio::ip::tcp::socket socket);
+    duration idleTimeout() const;
     asio::awaitable<void> serve(asio::ip::tcp::socket socket);
     asio::awaitable<void> serveRequests(asio::ip::tcp::socket &socket);
     asio::awaitable<received_request> readRequest(asio::ip::tcp::socket &socket,
--- a/gooseberrymoor/http/http_test.cpp
+++ b/gooseberrymoor/http/http_test.cpp
@@ -13,6 +13,9 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <string>
+#include <vector>
+
 using namespace gooseberrymoor;
 
 namespace {
@@ -120,6 +123,65 @@
     }
 }
 
+TEST_CASE("An HTTP server stops while clients have just sent requests")
+{
+    constexpr int clients = 20;
+    running_server server;
+    const std::string request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\none";
+    asio::io_context clientContext; // its operations are synchronous
+    std::vector<asio::ip::tcp::socket> sockets;
+    for (int i = 0; i < clients; ++i) {
+        sockets.emplace_back(clientContext);
+        sockets.back().connect(
+            { asio::ip::make_address(server_address.address), server_address.port });
+    }
+    const auto sendAll = [&] {
+        for (auto &each : sockets)
+            asio::write(each, asio::buffer(request));
+    };
+    // Runs the server until it has closed all connections; returns how many clients have an answer.
+    const auto answered = [&] {
+        server.context.run();
+        int answers = 0;
+        for (auto &each : sockets) {
+            std::string reply;
+            boost::system::error_code error;
+            asio::read(each, asio::dynamic_buffer(reply), error);
+            answers += reply.ends_with("one") ? 1 : 0;
+        }
+        return answers;
+    };
+
+    SUBCASE("on connections that it has not accepted yet")
+    {
+        sendAll();
+        server.server.stopAccepting();
+        CHECK(answered() == clients);
+    }
+    SUBCASE("on connections that it is accepting")
+    {
+        sendAll();
+        server.context.poll_one();
+        server.server.stopAccepting();
+        CHECK(answered() == clients);
+    }
+    SUBCASE("on open connections whose requests it has not read yet")
+    {
+        server.context.poll();
+        sendAll();
+        server.server.stopAccepting();
+        CHECK(answered() == clients);
+    }
+    SUBCASE("but does not wait for a connection without a request")
+    {
+        server.server.stopAccepting();
+        const time_point before = millis_clock::now();
+        CHECK(answered() == 0);
+        CHECK(millis_clock::now() - before < test_timeout);
+        CHECK(server.server.openConnections() == 0);
+    }
+}
+
 TEST_CASE("A client connects to an address without a server")
 {
     asio::io_context context;
--- a/gooseberrymoor/tier/fleet_node.cpp
+++ b/gooseberrymoor/tier/fleet_node.cpp
@@ -88,8 +88,10 @@
     while (millis_clock::now() < schedule.closeTime())
         co_await m_wake.wait(schedule.closeTime());
     m_callerServer->stopAccepting();
-    while (millis_clock::now() < schedule.end() && m_callerServer->openConnections() > 0)
+    // Waits at least once: a connection that is just being accepted is not counted yet.
+    do {
         co_await m_wake.wait(millis_clock::now() + drain_check_interval);
+    } while (millis_clock::now() < schedule.end() && m_callerServer->openConnections() > 0);
     m_stopped = true;
     m_operatorFollower.stop();
     m_replicaFollower.stop();
