--- a/gooseberrymoor/fleet/heartbeat_exchange.cpp
+++ b/gooseberrymoor/fleet/heartbeat_exchange.cpp
@@ -2,11 +2,10 @@
 
 #include "gooseberrymoor/base/counters.h"
 #include "gooseberrymoor/base/event_log.h"
-#include "gooseberrymoor/fleet/fleet_heartbeat_generated.h"
+#include "gooseberrymoor/fleet/heartbeat_codec.h"
 #include "gooseberrymoor/fleet/peer_liveness.h"
 #include "gooseberrymoor/peer/peer_channel.h"
 #include "gooseberrymoor/peer/peer_network.h"
-#include "gooseberrymoor/peer/wire.h"
 
 #include <algorithm>
 #include <iterator>
@@ -53,18 +52,10 @@
 
 bool heartbeat_exchange::onFrame(const std::shared_ptr<peer_channel> &channel, const frame &message)
 {
-    const auto *heartbeat = verifiedRoot<wire::fleet_heartbeat>(message.payload);
-    if (!heartbeat)
+    auto report = decodeHeartbeat(message.payload);
+    if (!report)
         return false;
-    peer_report report;
-    report.leaving = heartbeat->leaving();
-    report.storeLost = heartbeat->store_lost();
-    report.watchesAll = heartbeat->watches_all();
-    if (heartbeat->silent()) {
-        for (const auto *each : *heartbeat->silent())
-            report.silent.insert(each->str());
-    }
-    m_liveness.onHeartbeat(channel->peerName(), std::move(report), millis_clock::now());
+    m_liveness.onHeartbeat(channel->peerName(), std::move(*report), millis_clock::now());
     return true;
 }
 
@@ -113,7 +104,7 @@
 
 void heartbeat_exchange::sendTo(const std::vector<std::string> &peers)
 {
-    const std::vector<std::uint8_t> message = encodeHeartbeat();
+    const std::vector<std::uint8_t> message = encodeHeartbeat(m_liveness.report());
     for (const std::string &peer : peers) {
         if (const auto channel = m_network.channelTo(peer)) {
             channel->send(message_kind::fleet_heartbeat, message);
@@ -122,17 +113,4 @@
     }
 }
 
-std::vector<std::uint8_t> heartbeat_exchange::encodeHeartbeat() const
-{
-    const peer_report &report = m_liveness.report();
-    flatbuffers::FlatBufferBuilder builder;
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> silent;
-    if (!report.silent.empty())
-        silent = builder.CreateVectorOfStrings({ report.silent.begin(), report.silent.end() });
-    builder.Finish(wire::Createfleet_heartbeat(builder, report.leaving, report.storeLost,
-                                               report.watchesAll, silent));
-    const auto bytes = bytesOf(builder);
-    return { bytes.begin(), bytes.end() };
-}
-
 } // namespace gooseberrymoor
--- a/gooseberrymoor/fleet/heartbeat_exchange.h
+++ b/gooseberrymoor/fleet/heartbeat_exchange.h
@@ -43,7 +43,6 @@
     void sendToNewPeers();
     void logSilenceChanges(const std::set<std::string> &before, const std::set<std::string> &after);
     void sendTo(const std::vector<std::string> &peers);
-    std::vector<std::uint8_t> encodeHeartbeat() const;
 
     peer_network &m_network;
     peer_liveness &m_liveness;
--- a/gooseberrymoor/store/base64.cpp
+++ b/gooseberrymoor/store/base64.cpp
@@ -15,7 +15,10 @@
 
 std::string fromBase64(const std::string &text)
 {
-    std::string bytes(base64::decoded_size(text.size()), '\0');
+    // Text whose length is no multiple of four, as malformed text may be, decodes to up to three
+    // bytes more than `decoded_size` says.
+    constexpr std::size_t max_rest_bytes = 3;
+    std::string bytes(base64::decoded_size(text.size()) + max_rest_bytes, '\0');
     bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
     return bytes;
 }
--- a/gooseberrymoor/store/base64_test.cpp
+++ b/gooseberrymoor/store/base64_test.cpp
@@ -19,6 +19,12 @@
             bytes += static_cast<char>(i);
         CHECK(fromBase64(toBase64(bytes)) == bytes);
     }
+    SUBCASE("and text without padding, or cut off, decodes as far as it goes")
+    {
+        CHECK(fromBase64("YWI") == "ab");
+        CHECK(fromBase64("YQ") == "a");
+        CHECK(fromBase64("YWJjZ") == "abc");
+    }
     SUBCASE("and text outside the alphabet decodes to nothing")
     {
         CHECK(fromBase64("!!").empty());
