Keep large odd entries off the relays, and count the wait of a request during a pause

Cause: an unreadable entry was kept, and passed on to the peers each time it was written: five rewrites of a 1 MB entry cost 10 MB among three nodes, on links of 20 Mbit/s. And a request that arrived while the process was stopped got its whole time again once it was read, so that a non-idempotent one ran after its caller had given up. Ruled out: calls queued before the pause (checked before each send); the lease of the node's key (it protects nothing but the directory). Change: a mirror keeps a value that its listener can't read as an empty one, and an unreadable value that replaces another is no change; stall_detector tells how long what is read may have waited.

--- a/gooseberrymoor/mirror/mirror_listener.h
+++ b/gooseberrymoor/mirror/mirror_listener.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <string>
 
 namespace gooseberrymoor {
@@ -18,6 +20,10 @@
     // `key` was removed.
     virtual void onRemoved(const std::string &key) = 0;
 
+    // Size of the largest value that the listener can read. The mirror keeps and passes on a larger
+    // one as an empty value, so that a malformed entry costs neither memory nor bandwidth.
+    virtual std::size_t maxValueBytes() const { return std::numeric_limits<std::size_t>::max(); }
+
     // Whether replacing `before` with `after` matters to the listener. Other changes are not
     // reported.
     virtual bool isSignificantChange(const std::string &before, const std::string &after) const
--- a/gooseberrymoor/mirror/store_mirror.cpp
+++ b/gooseberrymoor/mirror/store_mirror.cpp
@@ -24,7 +24,7 @@
     std::set<std::string> present;
     for (const store_entry &each : read.entries) {
         present.insert(each.key);
-        putValue(each.key, each.value, each.modRevision);
+        putValue(each.key, readableValue(each.value), each.modRevision);
     }
     std::vector<std::string> absent;
     for (const auto &[key, value] : m_entries) {
@@ -43,8 +43,9 @@
     std::vector<store_change> significantChanges;
     for (const store_change &each : changes) {
         if (each.value) {
-            if (putValue(each.key, *each.value, each.modRevision))
-                significantChanges.push_back(each);
+            const std::string &value = readableValue(*each.value);
+            if (putValue(each.key, value, each.modRevision))
+                significantChanges.push_back({ each.key, value, each.modRevision });
             continue;
         }
         const auto found = m_entries.find(each.key);
@@ -93,6 +94,13 @@
     return next;
 }
 
+// `value`, or an empty one if it is too large for the listener.
+const std::string &store_mirror::readableValue(const std::string &value) const
+{
+    static const std::string tooLarge;
+    return value.size() <= m_listener.maxValueBytes() ? value : tooLarge;
+}
+
 // Returns whether the change is significant or cancels a pending removal. The copy already reflects
 // all changes up to its revision: an older value that it lacks has been removed since.
 bool store_mirror::putValue(const std::string &key, const std::string &value, std::int64_t revision)
--- a/gooseberrymoor/mirror/store_mirror.h
+++ b/gooseberrymoor/mirror/store_mirror.h
@@ -56,6 +56,7 @@
         std::int64_t revision = 0;
     };
 
+    const std::string &readableValue(const std::string &value) const;
     bool putValue(const std::string &key, const std::string &value, std::int64_t revision);
     void scheduleRemoval(const std::string &key, time_point now);
 
--- a/gooseberrymoor/tier/fleet_node.cpp
+++ b/gooseberrymoor/tier/fleet_node.cpp
@@ -143,6 +143,7 @@
 asio::awaitable<void> fleet_node::applyChanges()
 {
     while (!m_stopped) {
+        m_stallDetector.onTick(millis_clock::now());
         m_fleet.onTime(millis_clock::now());
         if (m_fleet.generation() != m_appliedFleetGeneration)
             onFleetChange();
--- a/gooseberrymoor/tier/fleet_node.h
+++ b/gooseberrymoor/tier/fleet_node.h
@@ -3,6 +3,7 @@
 #include "gooseberrymoor/base/counters.h"
 #include "gooseberrymoor/base/net.h"
 #include "gooseberrymoor/base/signal.h"
+#include "gooseberrymoor/base/stall_detector.h"
 #include "gooseberrymoor/fleet/fleet_announcer.h"
 #include "gooseberrymoor/fleet/fleet_view.h"
 #include "gooseberrymoor/fleet/heartbeat_exchange.h"
@@ -72,6 +73,12 @@
     // requests that might not complete in time.
     bool acceptsRequest(duration maxDuration) const;
 
+    // How long a request that is read now may have waited because this process did not run.
+    duration possibleReadDelay() const
+    {
+        return m_stallDetector.possibleReadDelay(millis_clock::now());
+    }
+
     // The routes of the active configuration; null before the first one.
     const std::shared_ptr<const route_table> &routes() const { return m_operatorKeys.routes(); }
 
@@ -138,6 +145,7 @@
     fleet_announcer m_announcer;
     signal m_wake;
     http_server *m_callerServer = nullptr;
+    stall_detector m_stallDetector { millis_clock::now() };
     std::uint64_t m_appliedFleetGeneration = 0;
     std::optional<stop_schedule> m_stopSchedule; // set once the node is stopping
     bool m_stopped = false;
--- a/gooseberrymoor/tier/replica_key_listener.cpp
+++ b/gooseberrymoor/tier/replica_key_listener.cpp
@@ -7,6 +7,12 @@
 
 namespace gooseberrymoor {
 
+namespace {
+
+constexpr std::size_t max_entry_bytes = 16 * 1024; // of one target
+
+} // namespace
+
 replica_key_listener::replica_key_listener(const catalog_decoder &decoder, replica_set &replicas,
                                            event_log &log, counters &counters)
     : m_decoder(decoder), m_replicas(replicas), m_log(log), m_counters(counters)
@@ -37,16 +43,21 @@
                       { "revision", std::to_string(revision) } });
 }
 
+std::size_t replica_key_listener::maxValueBytes() const
+{
+    return max_entry_bytes;
+}
+
 // Targets rewrite their keys periodically, mostly without a change of their decoded contents.
 bool replica_key_listener::isSignificantChange(const std::string &before,
                                                const std::string &after) const
 {
-    if (before == after)
-        return false;
     const std::string anyKey = m_decoder.replicaPrefix() + "any";
     const auto previous = m_decoder.decodeReplica(anyKey, before);
     const auto entry = m_decoder.decodeReplica(anyKey, after);
-    return !previous || !entry || *previous != *entry;
+    if (!previous || !entry)
+        return previous.has_value() != entry.has_value();
+    return *previous != *entry;
 }
 
 void replica_key_listener::onRemoved(const std::string &key)
--- a/gooseberrymoor/tier/replica_key_listener.h
+++ b/gooseberrymoor/tier/replica_key_listener.h
@@ -22,6 +22,7 @@
 
     void onValue(const std::string &key, const std::string &value, std::int64_t revision) override;
     void onRemoved(const std::string &key) override;
+    std::size_t maxValueBytes() const override;
     bool isSignificantChange(const std::string &before, const std::string &after) const override;
 
 private:
