Let the soak repeat and cut replies, and check that each answer is whole and its own

Cause: the soak injected none of the faults that operators of similar systems reported: late second replies, replies that break off, targets that leave or back off, pauses of several seconds; and it did not look into the answers. Change: five kinds of faults, relay modes that repeat and cut replies; callers compare the body and the signatures with what the shards that signed hold. Plans that failed once keep the kinds of their time.

--- a/testing/process/tcp_relay.cpp
+++ b/testing/process/tcp_relay.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
@@ -19,6 +20,7 @@
 namespace {
 
 constexpr std::size_t chunk_bytes = 16 * 1024;
+constexpr std::chrono::milliseconds repeat_delay { 30 };
 
 tcp::endpoint toAddress(const endpoint &value)
 {
@@ -46,6 +48,8 @@
             return true;
         switch (mode.load()) {
         case relay_mode::forward:
+        case relay_mode::repeat_replies:
+        case relay_mode::cut_replies:
             return false;
         case relay_mode::drop_requests:
             return fromClient;
@@ -101,10 +105,25 @@
                 destination.shutdown(tcp::socket::shutdown_send, ignored);
                 co_return;
             }
+            const bool isCut = !fromClient && mode == relay_mode::cut_replies;
+            const std::size_t kept = isCut ? size / 2 : size;
             const auto [writeError, written]
-                = co_await asio::async_write(destination, asio::buffer(chunk, size), as_result);
+                = co_await asio::async_write(destination, asio::buffer(chunk, kept), as_result);
             if (writeError)
                 co_return;
+            if (isCut) {
+                connection->client.close();
+                connection->server.close();
+                co_return;
+            }
+            if (!fromClient && mode == relay_mode::repeat_replies) {
+                asio::steady_timer delay(context, repeat_delay);
+                co_await delay.async_wait(as_result);
+                const auto [repeatError, repeated]
+                    = co_await asio::async_write(destination, asio::buffer(chunk, size), as_result);
+                if (repeatError)
+                    co_return;
+            }
         }
     }
 
--- a/testing/process/tcp_relay.h
+++ b/testing/process/tcp_relay.h
@@ -11,17 +11,21 @@
     drop_requests, // drops the bytes from the client
     drop_replies, // drops the bytes to the client; requests still take effect
     silent, // drops the bytes of both directions
+    repeat_replies, // sends the bytes to the client a second time, a little later
+    cut_replies, // sends half of the next bytes to the client, then closes the connection
 };
 
-constexpr gooseberrymoor::name_table<relay_mode, 4> names(relay_mode)
+constexpr gooseberrymoor::name_table<relay_mode, 6> names(relay_mode)
 {
     return { { { relay_mode::forward, "forward" },
                { relay_mode::drop_requests, "drop_requests" },
                { relay_mode::drop_replies, "drop_replies" },
-               { relay_mode::silent, "silent" } } };
+               { relay_mode::silent, "silent" },
+               { relay_mode::repeat_replies, "repeat_replies" },
+               { relay_mode::cut_replies, "cut_replies" } } };
 }
 
-// A TCP proxy that can drop bytes without closing connections. Runs on its own thread; its
+// A TCP proxy that can drop, repeat and cut off what it forwards. Runs on its own thread; its
 // functions may be called from any thread.
 class tcp_relay
 {
--- a/testing/soak/fault_plan.cpp
+++ b/testing/soak/fault_plan.cpp
@@ -10,19 +10,20 @@
 constexpr duration mean_fault_interval { 350 };
 constexpr duration min_fault_length { 200 };
 constexpr duration max_fault_length { 2500 };
+constexpr int long_pause_factor = 4; // times the length of other faults
 
 } // namespace
 
 std::vector<planned_fault> makeFaultPlan(std::uint32_t seed, duration length, std::size_t nodes,
-                                         std::size_t targets)
+                                         std::size_t targets, std::size_t kinds)
 {
     std::mt19937 random(seed);
     std::exponential_distribution<double> interval(
         1.0 / static_cast<double>(mean_fault_interval.count()));
     std::uniform_int_distribution<duration::rep> lengthDistribution(min_fault_length.count(),
                                                                     max_fault_length.count());
-    const auto kinds = names(fault_kind {});
-    std::uniform_int_distribution<std::size_t> kind(0, kinds.size() - 1);
+    const auto allKinds = names(fault_kind {});
+    std::uniform_int_distribution<std::size_t> kind(0, kinds - 1);
     std::uniform_int_distribution<std::size_t> subject(0, nodes * targets - 1);
     std::vector<planned_fault> plan;
     duration at { 0 };
@@ -32,9 +33,12 @@
             return plan;
         planned_fault fault;
         fault.at = at;
-        fault.kind = kinds[kind(random)].first;
+        fault.kind = allKinds[kind(random)].first;
         fault.subject = subject(random);
-        fault.length = std::min(duration(lengthDistribution(random)), length - at);
+        duration drawn(lengthDistribution(random));
+        if (fault.kind == fault_kind::node_paused_long)
+            drawn *= long_pause_factor;
+        fault.length = std::min(drawn, length - at);
         plan.push_back(fault);
     }
 }
--- a/testing/soak/fault_plan.h
+++ b/testing/soak/fault_plan.h
@@ -27,9 +27,14 @@
     target_failing, // runs requests and answers with status 500
     target_draining, // its entry in the store says so
     configuration_changed, // no fault: a new version with another route
+    node_paused_long, // as node_paused, for several seconds
+    target_leaving, // its answers say so, but not its entry; then it starts anew
+    target_backing_off, // refuses requests and asks for a pause
+    target_replies_repeated, // a relay sends each reply a second time
+    target_replies_cut, // a relay breaks replies off halfway
 };
 
-constexpr name_table<fault_kind, 16> names(fault_kind)
+constexpr name_table<fault_kind, 21> names(fault_kind)
 {
     return { { { fault_kind::node_killed, "node_killed" },
                { fault_kind::node_stopped, "node_stopped" },
@@ -46,7 +51,12 @@
                { fault_kind::target_full, "target_full" },
                { fault_kind::target_failing, "target_failing" },
                { fault_kind::target_draining, "target_draining" },
-               { fault_kind::configuration_changed, "configuration_changed" } } };
+               { fault_kind::configuration_changed, "configuration_changed" },
+               { fault_kind::node_paused_long, "node_paused_long" },
+               { fault_kind::target_leaving, "target_leaving" },
+               { fault_kind::target_backing_off, "target_backing_off" },
+               { fault_kind::target_replies_repeated, "target_replies_repeated" },
+               { fault_kind::target_replies_cut, "target_replies_cut" } } };
 }
 
 // One fault with its time. Value type.
@@ -58,11 +68,12 @@
     duration length { 0 }; // ignored by node_stopped and by kinds without a recovery
 };
 
-// Draws a plan of possibly overlapping faults over `length`. If faults that set the same mode of
-// the store or of a target overlap, the end of the first one ends the others. Equal arguments give
-// the same plan.
+// Draws a plan of the first `kinds` kinds of possibly overlapping faults over `length`. If faults
+// that set the same mode of the store or of a target overlap, the end of the first one ends the
+// others. Equal arguments give the same plan.
 std::vector<planned_fault> makeFaultPlan(std::uint32_t seed, duration length, std::size_t nodes,
-                                         std::size_t targets);
+                                         std::size_t targets,
+                                         std::size_t kinds = names(fault_kind {}).size());
 
 // Formats the plan as one line, for test output.
 std::string describe(const std::vector<planned_fault> &plan);
--- a/testing/soak/soak_callers.cpp
+++ b/testing/soak/soak_callers.cpp
@@ -3,8 +3,12 @@
 #include "gooseberrymoor/base/task.h"
 #include "gooseberrymoor/base/timer.h"
 #include "gooseberrymoor/http/http_connection.h"
+#include "gooseberrymoor/http/http_headers.h"
 #include "platform/protocol_names.h"
 
+#include <boost/algorithm/string/split.hpp>
+
+#include <algorithm>
 #include <array>
 
 namespace gooseberrymoor {
@@ -14,6 +18,32 @@
 constexpr duration request_interval { 15 }; // between the requests of one caller
 constexpr duration connect_timeout { 500 };
 constexpr duration request_timeout { 1500 };
+const std::string merged_path = "/sweep/1";
+const std::string single_body = "single";
+
+// The two largest records of the shards that have signed: s1 has two records, s2 has one.
+std::string largestOf(const std::string &signatures)
+{
+    const std::string low(16, 'a');
+    const std::string high(16, 'z');
+    if (signatures.find("s2-") == std::string::npos)
+        return low + low;
+    return signatures.find("s1-") == std::string::npos ? high : high + low;
+}
+
+// Whether `reply` is complete and signed for the request: each signature ends with its id.
+bool isOwnAnswer(const soak_record &record, const http_reply &reply)
+{
+    const bool isMerged = record.path == merged_path;
+    const std::string signatures(headerValue(
+        reply.headers, isMerged ? platform::part_signatures_field : platform::signature_field));
+    std::vector<std::string> parts;
+    boost::algorithm::split(parts, signatures, [](char c) { return c == ','; });
+    const bool isSigned = std::all_of(parts.begin(), parts.end(), [&](const std::string &part) {
+        return part.ends_with("." + record.attemptId);
+    });
+    return isSigned && reply.body == (isMerged ? largestOf(signatures) : single_body);
+}
 
 } // namespace
 
@@ -31,7 +61,7 @@
 
 soak_record soak_callers::makeRecord(std::minstd_rand &random)
 {
-    static const std::array<std::string, 3> paths { "/sweep/1", "/get/1", "/post/1" };
+    static const std::array<std::string, 3> paths { merged_path, "/get/1", "/post/1" };
     soak_record record;
     record.path = paths[random() % paths.size()];
     record.isRepeatable = record.path != paths.back();
@@ -63,6 +93,7 @@
         const time_point limit = millis_clock::now() + request_timeout;
         const auto reply = co_await connection.exchange(std::move(request), limit);
         record.status = reply ? reply->status : 0;
+        record.isOwnAnswer = reply && isOwnAnswer(record, *reply);
         const bool closes = !reply || reply->closeAfter;
         m_records.push_back(std::move(record));
         if (closes)
--- a/testing/soak/soak_callers.h
+++ b/testing/soak/soak_callers.h
@@ -18,6 +18,7 @@
     std::string path;
     bool isRepeatable = true; // whether its route allows more than one run
     unsigned status = 0; // 0 if there was no answer
+    bool isOwnAnswer = false; // the answer is complete and was made for this request
 };
 
 // Callers that keep a connection until it closes and then connect to a random node.
--- a/testing/soak/soak_site.cpp
+++ b/testing/soak/soak_site.cpp
@@ -19,6 +19,7 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_refused = 503;
 constexpr const char *ready_state = "ready";
+constexpr const char *pause_seconds = "0.4"; // that a full target asks for
 
 std::vector<endpoint> callerAddresses(const small_site &site, std::size_t nodes)
 {
@@ -106,6 +107,7 @@
     case fault_kind::node_killed:
     case fault_kind::node_stopped:
     case fault_kind::node_paused:
+    case fault_kind::node_paused_long:
         injectNodeFault(fault.kind, fault.subject % m_nodeCount, until);
         break;
     case fault_kind::target_silent:
@@ -114,6 +116,10 @@
     case fault_kind::target_full:
     case fault_kind::target_failing:
     case fault_kind::target_draining:
+    case fault_kind::target_leaving:
+    case fault_kind::target_backing_off:
+    case fault_kind::target_replies_repeated:
+    case fault_kind::target_replies_cut:
         injectTargetFault(fault.kind, fault.subject % targets(), until);
         break;
     case fault_kind::configuration_changed:
@@ -130,7 +136,7 @@
     const auto found = m_nodes.find(node);
     if (found == m_nodes.end())
         return; // already down
-    if (kind == fault_kind::node_paused) {
+    if (kind == fault_kind::node_paused || kind == fault_kind::node_paused_long) {
         found->second.sendSignal(SIGSTOP);
         scheduleRecovery(until, [this, node] {
             const auto paused = m_nodes.find(node);
@@ -210,6 +216,24 @@
     case fault_kind::target_failing:
         setFaultMode(leaf_fault_mode::failing);
         break;
+    case fault_kind::target_leaving:
+        leaf.setLeaving(true);
+        scheduleRecovery(until, [this, &leaf] {
+            leaf.restart();
+            m_site.write(leaf, ready_state);
+        });
+        break;
+    case fault_kind::target_backing_off:
+        leaf.setRetryAfter(pause_seconds);
+        setFaultMode(leaf_fault_mode::full);
+        scheduleRecovery(until, [&leaf] { leaf.setRetryAfter(""); });
+        break;
+    case fault_kind::target_replies_repeated:
+        setMode(relay_mode::repeat_replies);
+        break;
+    case fault_kind::target_replies_cut:
+        setMode(relay_mode::cut_replies);
+        break;
     default:
         m_site.write(leaf, "draining");
         scheduleRecovery(until, [this, &leaf] { m_site.write(leaf, ready_state); });
@@ -277,6 +301,9 @@
             violations.push_back(description);
         if (each.status == status_ok && runs == 0)
             violations.push_back(description);
+        if (each.status == status_ok && !each.isOwnAnswer)
+            violations.push_back(description
+                                 + " and got an answer that is not its own or not whole");
     }
     return violations;
 }
--- a/testing/soak/soak_site.h
+++ b/testing/soak/soak_site.h
@@ -34,7 +34,8 @@
     bool allNodesServe();
 
     // Describes each request that violated a guarantee: an unsafe request that ran more than once
-    // or ran although it was refused, or an answer to a request that did not run.
+    // or ran although it was refused, an answer to a request that did not run, or an answer that
+    // is incomplete or belongs to another request.
     std::vector<std::string> guaranteeViolations() const;
 
     std::size_t targets() { return m_site.leafs().size(); }
