Send callers to the fast nodes of a fleet with unequal processors

Cause: a query of 90 parts costs some 8 ms of processor time. On a VM with 0.12 of a core that takes 69 ms, longer than the 40 ms in which the most urgent kind is wanted; of 64 VMs 6 have 0.5 of a core, and callers were spread over all. Weighed: fewer nodes carry more callers each when one of them fails, and less is left for a burst; the fast nodes of the site have an eighth of a core in use at the most. With less than two fast nodes in a zone all nodes there are named. Change: a node publishes its processor share; the directory names nodes with at least half of the fastest one's.

--- a/gooseberrymoor/fleet/fleet_member.h
+++ b/gooseberrymoor/fleet/fleet_member.h
@@ -16,6 +16,7 @@
     endpoint callerAddress;
     endpoint peerAddress;
     bool leaving = false; // accepts no new callers
+    double processorCores = 1; // of its VM, may be a fraction
 
     bool operator==(const fleet_member &) const = default;
 };
--- a/gooseberrymoor/fleet/fleet_member_codec.cpp
+++ b/gooseberrymoor/fleet/fleet_member_codec.cpp
@@ -10,6 +10,8 @@
 
 namespace json = boost::json;
 
+constexpr double max_processor_cores = 4096;
+
 endpoint endpointField(const json::object &object, std::string_view key)
 {
     const auto value = parseEndpoint(stringField(object, key));
@@ -18,6 +20,13 @@
     return *value;
 }
 
+double checkedCores(double cores)
+{
+    if (!(cores > 0 && cores <= max_processor_cores))
+        throw std::invalid_argument("processor_cores is out of range");
+    return cores;
+}
+
 } // namespace
 
 std::string encodeFleetMember(const fleet_member &member)
@@ -27,7 +36,8 @@
                                 { "availability_zone", member.availabilityZone },
                                 { "caller_address", toString(member.callerAddress) },
                                 { "peer_address", toString(member.peerAddress) },
-                                { "leaving", member.leaving } };
+                                { "leaving", member.leaving },
+                                { "processor_cores", member.processorCores } };
     return json::serialize(object);
 }
 
@@ -41,6 +51,8 @@
         member.callerAddress = endpointField(object, "caller_address");
         member.peerAddress = endpointField(object, "peer_address");
         member.leaving = object.at("leaving").as_bool();
+        if (const json::value *cores = object.if_contains("processor_cores"))
+            member.processorCores = checkedCores(cores->to_number<double>());
         return member;
     });
 }
--- a/gooseberrymoor/fleet/fleet_view.cpp
+++ b/gooseberrymoor/fleet/fleet_view.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::size_t min_preferred_addresses = 2; // so that callers have another if one fails
+constexpr double min_fast_fraction = 0.5; // of the processor cores of the fastest node
 
 } // namespace
 
@@ -97,12 +98,21 @@
 std::vector<endpoint> fleet_view::callerAddresses(const std::set<std::string> &zones,
                                                   std::size_t maxCount, time_point now) const
 {
+    const double fastCores = fastProcessorCores();
     std::vector<endpoint> all;
-    std::vector<endpoint> preferred;
+    std::vector<endpoint> fast;
+    std::vector<endpoint> inZones;
+    std::vector<endpoint> fastInZones;
     const auto addAddress = [&](const fleet_member &member) {
+        const bool isFast = member.processorCores >= fastCores;
+        const bool isInZones = zones.contains(member.availabilityZone);
         all.push_back(member.callerAddress);
-        if (zones.contains(member.availabilityZone))
-            preferred.push_back(member.callerAddress);
+        if (isFast)
+            fast.push_back(member.callerAddress);
+        if (isInZones)
+            inZones.push_back(member.callerAddress);
+        if (isFast && isInZones)
+            fastInZones.push_back(member.callerAddress);
     };
     if (!m_own.leaving)
         addAddress(m_own);
@@ -111,13 +121,27 @@
         if (acceptsCallers(known.member, hearsAnyPeer, now))
             addAddress(known.member);
     }
-    std::vector<endpoint> &chosen = preferred.size() >= min_preferred_addresses ? preferred : all;
+    std::vector<endpoint> chosen;
+    for (std::vector<endpoint> *each : { &fastInZones, &inZones, &fast, &all }) {
+        chosen = std::move(*each);
+        if (chosen.size() >= min_preferred_addresses)
+            break;
+    }
     // The seed differs between nodes, so that the lists of all nodes together cover the fleet.
     if (chosen.size() > maxCount) {
         std::shuffle(chosen.begin(), chosen.end(), std::minstd_rand(shuffleSeed()));
         chosen.resize(maxCount);
     }
-    return std::move(chosen);
+    return chosen;
+}
+
+// The processor cores from which on a node counts as fast.
+double fleet_view::fastProcessorCores() const
+{
+    double most = m_own.processorCores;
+    for (const auto &[key, known] : m_others)
+        most = std::max(most, known.member.processorCores);
+    return min_fast_fraction * most;
 }
 
 std::uint32_t fleet_view::shuffleSeed() const
--- a/gooseberrymoor/fleet/fleet_view.h
+++ b/gooseberrymoor/fleet/fleet_view.h
@@ -45,9 +45,11 @@
     // The peer addresses of the other nodes, by name.
     std::map<std::string, endpoint> peerAddresses() const;
 
-    // Up to `maxCount` addresses that callers may connect to: nodes in `zones` if at least two of
-    // them accept callers, otherwise nodes in any zone. Contains only nodes whose heartbeats
-    // arrive, unless this node receives no heartbeats at all.
+    // Up to `maxCount` addresses that callers may connect to: the fast nodes in `zones` if at least
+    // two of them accept callers, otherwise all nodes there, or the fast nodes or all nodes in any
+    // zone. Fast are nodes with at least half of the processor of the fleet's fastest one: a query
+    // of many shards takes longer on a slow node than targets need to answer it. Contains only
+    // nodes whose heartbeats arrive, unless this node receives no heartbeats at all.
     std::vector<endpoint> callerAddresses(const std::set<std::string> &zones, std::size_t maxCount,
                                           time_point now) const;
 
@@ -65,6 +67,7 @@
     };
 
     std::uint32_t shuffleSeed() const;
+    double fastProcessorCores() const;
     bool acceptsCallers(const fleet_member &member, bool hearsAnyPeer, time_point now) const;
 
     fleet_member m_own;
