Spend less processor time on each reply of a target

Change: names are compared by Beast's ASCII comparison, what came with the head is parsed at once, reconciliation follows changes of the targets, and else each 500 ms.

--- a/gooseberrymoor/forward/leaf_pool.cpp
+++ b/gooseberrymoor/forward/leaf_pool.cpp
@@ -169,6 +169,9 @@
                              unsigned status)
 {
     known_replica &replica = *target.target;
+    const bool hasSignal = signals.isLeaving || signals.retryAfter || signals.isRetryAfterInvalid;
+    if (!hasSignal && !replica.backpressure.isSet())
+        return;
     const time_point now = millis_clock::now();
     if (signals.isRetryAfterInvalid) {
         m_events.add("leaf_retry_after_invalid");
--- a/gooseberrymoor/http/http_connection.cpp
+++ b/gooseberrymoor/http/http_connection.cpp
@@ -79,6 +79,19 @@
     return reply;
 }
 
+// Parses the part of the body that was received with the header, which mostly is all of it.
+boost::system::error_code
+parseBuffered(beast::http::response_parser<beast::http::string_body> &parser,
+              beast::flat_buffer &buffer)
+{
+    boost::system::error_code error;
+    if (parser.is_done() || buffer.size() == 0)
+        return error;
+    parser.eager(true);
+    buffer.consume(parser.put(buffer.data(), error));
+    return error == beast::http::error::need_more ? boost::system::error_code() : error;
+}
+
 } // namespace
 
 struct http_connection::implementation
@@ -173,6 +186,8 @@
             continue;
         const auto reservation
             = std::make_shared<byte_reservation>(limits.bodyBudget, limits.freeBodyBytes);
+        if (const auto error = parseBuffered(parser, buffer))
+            co_return tl::unexpected(makeFailure(verdict::may_have_run, false, error));
         while (!parser.is_done()) {
             const auto [error, size]
                 = co_await beast::http::async_read_some(socket, buffer, parser, as_result);
--- a/gooseberrymoor/http/http_headers.cpp
+++ b/gooseberrymoor/http/http_headers.cpp
@@ -1,6 +1,6 @@
 #include "gooseberrymoor/http/http_headers.h"
 
-#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/core/string.hpp>
 
 #include <algorithm>
 #include <array>
@@ -18,14 +18,15 @@
 
 bool isHopByHopHeader(std::string_view name)
 {
-    return std::any_of(hop_by_hop_fields.begin(), hop_by_hop_fields.end(),
-                       [name](std::string_view field) { return boost::iequals(field, name); });
+    return std::any_of(
+        hop_by_hop_fields.begin(), hop_by_hop_fields.end(),
+        [name](std::string_view field) { return boost::beast::iequals(field, name); });
 }
 
 std::string_view headerValue(const http_headers &headers, std::string_view name)
 {
     for (const auto &[field, value] : headers) {
-        if (boost::iequals(field, name))
+        if (boost::beast::iequals(field, name))
             return value;
     }
     return {};
--- a/gooseberrymoor/tier/fleet_node.cpp
+++ b/gooseberrymoor/tier/fleet_node.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr duration change_check_interval { 100 };
+constexpr duration reconcile_interval { 500 }; // of connections, while the targets stay the same
 constexpr duration drain_check_interval { 10 };
 constexpr duration announcer_stop_timeout { 200 };
 constexpr const char *fleet_cell = "fleet";
@@ -147,11 +148,23 @@
         m_fleet.onTime(millis_clock::now());
         if (m_fleet.generation() != m_appliedFleetGeneration)
             onFleetChange();
-        m_pool.reconcile();
+        reconcileConnections();
         co_await m_wake.wait(millis_clock::now() + change_check_interval);
     }
 }
 
+// Reconciles at once after a change of the targets, and else at a longer interval.
+void fleet_node::reconcileConnections()
+{
+    const time_point now = millis_clock::now();
+    if (m_replicas.generation() == m_reconciledGeneration
+        && now < m_reconciledAt + reconcile_interval)
+        return;
+    m_reconciledGeneration = m_replicas.generation();
+    m_reconciledAt = now;
+    m_pool.reconcile();
+}
+
 void fleet_node::onConfiguration()
 {
     const routing_configuration &configuration = routes()->configuration();
--- a/gooseberrymoor/tier/fleet_node.h
+++ b/gooseberrymoor/tier/fleet_node.h
@@ -113,6 +113,7 @@
 private:
     asio::awaitable<void> applyChanges();
     asio::awaitable<void> stopAnnouncer();
+    void reconcileConnections();
     void onConfiguration();
     void onFleetChange();
 
@@ -147,6 +148,8 @@
     http_server *m_callerServer = nullptr;
     stall_detector m_stallDetector { millis_clock::now() };
     std::uint64_t m_appliedFleetGeneration = 0;
+    std::uint64_t m_reconciledGeneration = 0; // of the targets
+    time_point m_reconciledAt {};
     std::optional<stop_schedule> m_stopSchedule; // set once the node is stopping
     bool m_stopped = false;
 };
