Share the targets' connections among the nodes that callers are sent to

Cause: each node had a share of a target's connections, also those that no caller is sent to: on a fleet of 64 less than one, so that the few nodes with callers held one connection to one target of three and opened others for single requests. Change: servingNodes tells who is sent callers; these share the connections, the others keep none and open one when they need it.

--- a/gooseberrymoor/fleet/fleet_view.cpp
+++ b/gooseberrymoor/fleet/fleet_view.cpp
@@ -98,41 +98,69 @@
 std::vector<endpoint> fleet_view::callerAddresses(const std::set<std::string> &zones,
                                                   std::size_t maxCount, time_point now) const
 {
-    const double fastCores = fastProcessorCores();
-    std::vector<endpoint> all;
-    std::vector<endpoint> fast;
-    std::vector<endpoint> inZones;
-    std::vector<endpoint> fastInZones;
-    const auto addAddress = [&](const fleet_member &member) {
-        const bool isFast = member.processorCores >= fastCores;
-        const bool isInZones = zones.contains(member.availabilityZone);
-        all.push_back(member.callerAddress);
-        if (isFast)
-            fast.push_back(member.callerAddress);
-        if (isInZones)
-            inZones.push_back(member.callerAddress);
-        if (isFast && isInZones)
-            fastInZones.push_back(member.callerAddress);
-    };
+    std::vector<endpoint> addresses;
+    for (const fleet_member *each : callerNodes(acceptingNodes(now), zones))
+        addresses.push_back(each->callerAddress);
+    // The seed differs between nodes, so that the lists of all nodes together cover the fleet.
+    if (addresses.size() > maxCount) {
+        std::shuffle(addresses.begin(), addresses.end(), std::minstd_rand(shuffleSeed()));
+        addresses.resize(maxCount);
+    }
+    return addresses;
+}
+
+std::set<std::string> fleet_view::servingNodes(time_point now) const
+{
+    const std::vector<const fleet_member *> accepting = acceptingNodes(now);
+    std::set<std::string> zones;
+    for (const fleet_member *each : accepting)
+        zones.insert(each->availabilityZone);
+    std::set<std::string> serving;
+    for (const std::string &zone : zones) {
+        for (const fleet_member *each : callerNodes(accepting, { zone }))
+            serving.insert(each->name);
+    }
+    return serving;
+}
+
+// The nodes that accept callers, including this one.
+std::vector<const fleet_member *> fleet_view::acceptingNodes(time_point now) const
+{
+    std::vector<const fleet_member *> accepting;
     if (!m_own.leaving)
-        addAddress(m_own);
+        accepting.push_back(&m_own);
     const bool hearsAnyPeer = m_liveness.hearsAnyPeer(now);
     for (const auto &[key, known] : m_others) {
         if (acceptsCallers(known.member, hearsAnyPeer, now))
-            addAddress(known.member);
+            accepting.push_back(&known.member);
     }
-    std::vector<endpoint> chosen;
-    for (std::vector<endpoint> *each : { &fastInZones, &inZones, &fast, &all }) {
-        chosen = std::move(*each);
-        if (chosen.size() >= min_preferred_addresses)
-            break;
+    return accepting;
+}
+
+// The nodes of `accepting` to which callers in `zones` are sent.
+std::vector<const fleet_member *>
+fleet_view::callerNodes(const std::vector<const fleet_member *> &accepting,
+                        const std::set<std::string> &zones) const
+{
+    const double fastCores = fastProcessorCores();
+    std::vector<const fleet_member *> fast;
+    std::vector<const fleet_member *> inZones;
+    std::vector<const fleet_member *> fastInZones;
+    for (const fleet_member *each : accepting) {
+        const bool isFast = each->processorCores >= fastCores;
+        const bool isInZones = zones.contains(each->availabilityZone);
+        if (isFast)
+            fast.push_back(each);
+        if (isInZones)
+            inZones.push_back(each);
+        if (isFast && isInZones)
+            fastInZones.push_back(each);
     }
-    // The seed differs between nodes, so that the lists of all nodes together cover the fleet.
-    if (chosen.size() > maxCount) {
-        std::shuffle(chosen.begin(), chosen.end(), std::minstd_rand(shuffleSeed()));
-        chosen.resize(maxCount);
+    for (const auto *each : { &fastInZones, &inZones, &fast }) {
+        if (each->size() >= min_preferred_addresses)
+            return *each;
     }
-    return chosen;
+    return accepting;
 }
 
 // The processor cores from which on a node counts as fast.
--- a/gooseberrymoor/fleet/fleet_view.h
+++ b/gooseberrymoor/fleet/fleet_view.h
@@ -53,6 +53,10 @@
     std::vector<endpoint> callerAddresses(const std::set<std::string> &zones, std::size_t maxCount,
                                           time_point now) const;
 
+    // The names of the nodes that the callers of any availability zone are sent to. May include
+    // this node.
+    std::set<std::string> servingNodes(time_point now) const;
+
     // The availability zones of the other nodes, by name.
     std::map<std::string, std::string> peerZones() const;
 
@@ -68,6 +72,10 @@
 
     std::uint32_t shuffleSeed() const;
     double fastProcessorCores() const;
+    std::vector<const fleet_member *> acceptingNodes(time_point now) const;
+    std::vector<const fleet_member *>
+    callerNodes(const std::vector<const fleet_member *> &accepting,
+                const std::set<std::string> &zones) const;
     bool acceptsCallers(const fleet_member &member, bool hearsAnyPeer, time_point now) const;
 
     fleet_member m_own;
--- a/gooseberrymoor/fleet/fleet_view_test.cpp
+++ b/gooseberrymoor/fleet/fleet_view_test.cpp
@@ -99,6 +99,22 @@
     }
 }
 
+TEST_CASE("The nodes that serve callers")
+{
+    fixture env;
+    const std::set<std::string> fast { "a0", "a1", "b0", "b1", "c0", "c1" };
+    CHECK(env.view.servingNodes(start) == fast);
+
+    SUBCASE("are all nodes of a zone with less than two fast ones left")
+    {
+        env.leave("b0", "b", 110);
+        const std::set<std::string> serving = env.view.servingNodes(start);
+        CHECK(serving.size() == 9);
+        CHECK(serving.contains("b5"));
+        CHECK(!serving.contains("a5"));
+    }
+}
+
 TEST_CASE("Callers of a fleet whose nodes are equal are sent to all nodes of their zone")
 {
     silent_log log;
--- a/gooseberrymoor/replica/replica_subset.cpp
+++ b/gooseberrymoor/replica/replica_subset.cpp
@@ -38,14 +38,17 @@
     m_allocations.clear();
 }
 
-void replica_subset::setNodes(std::size_t nodes)
+void replica_subset::setNodes(std::size_t nodes, bool includesThisNode)
 {
     m_nodes = std::max<std::size_t>(1, nodes);
+    m_sharesConnections = includesThisNode;
     m_allocations.clear();
 }
 
 connection_allocation replica_subset::allocationFor(const known_replica &target) const
 {
+    if (!m_sharesConnections)
+        return { false, 1 };
     const service_allocation &allocation = currentAllocation(target.entry.service);
     if (allocation.holdsAll || allocation.held.contains(target.entry.id))
         return { true, allocation.connections };
--- a/gooseberrymoor/replica/replica_subset.h
+++ b/gooseberrymoor/replica/replica_subset.h
@@ -39,8 +39,10 @@
     // Reads the connection limit of each service from `configuration`.
     void configure(const routing_configuration &configuration);
 
-    // Sets the number of live nodes that share each target's connections. Zero counts as one.
-    void setNodes(std::size_t nodes);
+    // Sets the number of nodes that share each target's connections; zero counts as one. A node
+    // that is not one of them, because callers are sent elsewhere, keeps no connections and opens
+    // one when it needs it.
+    void setNodes(std::size_t nodes, bool includesThisNode = true);
 
     // This node's allocation for `target`.
     connection_allocation allocationFor(const known_replica &target) const;
@@ -72,6 +74,7 @@
     std::string m_ownName;
     std::string m_ownZone;
     std::size_t m_nodes = 1;
+    bool m_sharesConnections = true; // this node is one of them
     std::map<std::string, unsigned> m_limits; // by service; per target, over all nodes
     unsigned m_lowestLimit = 0; // 0 if no limit is configured
     // By service; recomputed when the replica set changes.
--- a/gooseberrymoor/replica/replica_subset_test.cpp
+++ b/gooseberrymoor/replica/replica_subset_test.cpp
@@ -151,3 +151,27 @@
         }));
     }
 }
+
+TEST_CASE("A node that callers are not sent to")
+{
+    replica_set replicas;
+    addTargets(replicas, 3);
+    replica_subset subset(replicas, nodeName(0), "a");
+    subset.configure(limitedTo(64));
+    subset.setNodes(6, false);
+    const auto target = replicas.find("r-0");
+
+    SUBCASE("keeps no connections, but may open one")
+    {
+        CHECK(!subset.holds(*target));
+        CHECK(subset.connectionLimit(*target) == 1);
+    }
+    SUBCASE("leaves its share to the others")
+    {
+        replica_subset other(replicas, nodeName(1), "a");
+        other.configure(limitedTo(64));
+        other.setNodes(6);
+        CHECK(other.holds(*target));
+        CHECK(other.connectionLimit(*target) == 5);
+    }
+}
--- a/gooseberrymoor/tier/fleet_node.cpp
+++ b/gooseberrymoor/tier/fleet_node.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr duration change_check_interval { 100 };
+constexpr duration serving_nodes_interval { 300 }; // between looks at who is sent callers
 constexpr duration reconcile_interval { 500 }; // of connections, while the targets stay the same
 constexpr duration drain_check_interval { 10 };
 constexpr duration announcer_stop_timeout { 200 };
@@ -148,6 +149,8 @@
         m_fleet.onTime(millis_clock::now());
         if (m_fleet.generation() != m_appliedFleetGeneration)
             onFleetChange();
+        if (millis_clock::now() >= m_servingNodesUpdatedAt + serving_nodes_interval)
+            updateServingNodes();
         reconcileConnections();
         co_await m_wake.wait(millis_clock::now() + change_check_interval);
     }
@@ -181,7 +184,19 @@
     m_repeatBudget.setNodes(m_fleet.size());
     m_network.setPeers(m_fleet.peerAddresses());
     m_liveness.setNodes(m_fleet.peerZones(), millis_clock::now());
-    m_subset.setNodes(m_fleet.size());
+    updateServingNodes();
+}
+
+// Only nodes that callers are sent to share the targets' connections.
+void fleet_node::updateServingNodes()
+{
+    const time_point now = millis_clock::now();
+    m_servingNodesUpdatedAt = now;
+    std::set<std::string> serving = m_fleet.servingNodes(now);
+    if (serving == m_servingNodes)
+        return;
+    m_servingNodes = std::move(serving);
+    m_subset.setNodes(m_servingNodes.size(), m_servingNodes.contains(m_settings.own.name));
 }
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/tier/fleet_node.h
+++ b/gooseberrymoor/tier/fleet_node.h
@@ -33,6 +33,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -116,6 +117,7 @@
     void reconcileConnections();
     void onConfiguration();
     void onFleetChange();
+    void updateServingNodes();
 
     asio::any_io_executor m_executor;
     tier_settings m_settings;
@@ -148,6 +150,8 @@
     http_server *m_callerServer = nullptr;
     stall_detector m_stallDetector { millis_clock::now() };
     std::uint64_t m_appliedFleetGeneration = 0;
+    std::set<std::string> m_servingNodes; // names of the nodes that callers are sent to
+    time_point m_servingNodesUpdatedAt {};
     std::uint64_t m_reconciledGeneration = 0; // of the targets
     time_point m_reconciledAt {};
     std::optional<stop_schedule> m_stopSchedule; // set once the node is stopping
