Call the store less often, and time an exchange with a target once

A node that joins or leaves shows at once in a waiting call however long it waits, and heartbeats show deaths. Reading a reply in bounded steps had added a second timer to each exchange. Ruled out: a longer wait for the configuration: a cut between reader and store is found by its end. Change: targets are read each second instead of 0.7 s, the nodes' keys with a wait of 3 s instead of 1 s, a node's lease of 5 s is renewed each 2.2 s instead of 1.6 s; one deadline spans an exchange.

--- a/gooseberrymoor/fleet/fleet_announcer.cpp
+++ b/gooseberrymoor/fleet/fleet_announcer.cpp
@@ -14,7 +14,7 @@
 // Heartbeats reveal a failed node sooner. The lease still matters to a node that receives no
 // heartbeats.
 constexpr duration lease_duration { 5000 };
-constexpr duration renewal_interval { 1600 };
+constexpr duration renewal_interval { 2200 };
 constexpr duration initial_retry_delay { 300 };
 constexpr duration max_retry_delay { 1200 };
 
--- a/gooseberrymoor/http/http_connection.cpp
+++ b/gooseberrymoor/http/http_connection.cpp
@@ -162,17 +162,16 @@
         const verdict outcome = written == 0 ? verdict::not_run : verdict::may_have_run;
         co_return tl::unexpected(makeFailure(outcome, limit.hasPassed(), writeError));
     }
-    auto reply = co_await readReply(deadline);
+    auto reply = co_await readReply(limit);
     if (!reply)
         close();
     co_return reply;
 }
 
 asio::awaitable<tl::expected<http_reply, http_failure>>
-http_connection::readReply(time_point deadline)
+http_connection::readReply(const operation_deadline &limit)
 {
     auto &[socket, limits, buffer, host] = *m_implementation;
-    operation_deadline limit(socket, deadline);
     for (unsigned interim = 0; interim <= max_interim_replies; ++interim) {
         beast::http::response_parser<beast::http::string_body> parser;
         parser.header_limit(limits.headerBytes);
--- a/gooseberrymoor/http/http_connection.h
+++ b/gooseberrymoor/http/http_connection.h
@@ -13,6 +13,8 @@
 
 namespace gooseberrymoor {
 
+class operation_deadline;
+
 // HTTP/1.1 client connection for one exchange at a time.
 // Not thread-safe; used by one task.
 class http_connection
@@ -42,7 +44,8 @@
     void close();
 
 private:
-    asio::awaitable<tl::expected<http_reply, http_failure>> readReply(time_point deadline);
+    asio::awaitable<tl::expected<http_reply, http_failure>>
+    readReply(const operation_deadline &limit);
 
     struct implementation;
     std::unique_ptr<implementation> m_implementation;
--- a/gooseberrymoor/tier/fleet_node.cpp
+++ b/gooseberrymoor/tier/fleet_node.cpp
@@ -21,8 +21,9 @@
 constexpr duration reader_grace_period { 500 };
 constexpr follower_timing operator_timing { duration(50), duration(1000), reader_grace_period,
                                             true };
-constexpr follower_timing replica_timing { duration(700), duration(0), reader_grace_period, false };
-constexpr follower_timing fleet_timing { duration(200), duration(1000), reader_grace_period,
+constexpr follower_timing replica_timing { duration(1000), duration(0), reader_grace_period,
+                                           false };
+constexpr follower_timing fleet_timing { duration(200), duration(3000), reader_grace_period,
                                          false };
 constexpr duration operator_reregistration_time { 0 }; // operators' keys have no lease
 
