--- a/gooseberrymoor/store/base64.cpp
+++ b/gooseberrymoor/store/base64.cpp
@@ -6,6 +6,14 @@
 
 namespace base64 = boost::beast::detail::base64;
 
+namespace {
+
+// Text whose length is no multiple of four, as malformed text may be, decodes to up to three bytes
+// more than Beast's `decoded_size` says.
+constexpr std::size_t max_rest_bytes = 3;
+
+} // namespace
+
 std::string toBase64(const std::string &bytes)
 {
     std::string text(base64::encoded_size(bytes.size()), '\0');
@@ -15,9 +23,6 @@
 
 std::string fromBase64(const std::string &text)
 {
-    // Text whose length is no multiple of four, as malformed text may be, decodes to up to three
-    // bytes more than `decoded_size` says.
-    constexpr std::size_t max_rest_bytes = 3;
     std::string bytes(base64::decoded_size(text.size()) + max_rest_bytes, '\0');
     bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
     return bytes;
