Accept all waiting connections at once, and drop requests whose callers have gone

A server accepted one connection in each round of its event loop; on a busy node the others waited for up to a second, and a request was sent on before the close behind it was looked at. Change: each accept takes all connections that wait; a monitor looks for the close when it starts.

--- a/gooseberrymoor/http/disconnect_monitor.h
+++ b/gooseberrymoor/http/disconnect_monitor.h
@@ -4,6 +4,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <sys/socket.h>
+
 #include <memory>
 
 namespace gooseberrymoor {
@@ -19,6 +21,10 @@
                        std::shared_ptr<cancellation> abandoned)
         : m_socket(socket), m_active(std::make_shared<bool>(true))
     {
+        if (isClosedByClient(socket)) {
+            abandoned->cancel();
+            return;
+        }
         socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
                           [&socket, active = m_active, abandoned = std::move(abandoned)](
                               const boost::system::error_code &error) {
@@ -39,6 +45,13 @@
     disconnect_monitor &operator=(const disconnect_monitor &) = delete;
 
 private:
+    // Whether the client closed its connection before the request was read.
+    static bool isClosedByClient(boost::asio::ip::tcp::socket &socket)
+    {
+        char next = 0;
+        return ::recv(socket.native_handle(), &next, sizeof next, MSG_PEEK | MSG_DONTWAIT) == 0;
+    }
+
     boost::asio::ip::tcp::socket &m_socket;
     std::shared_ptr<bool> m_active;
 };
--- a/gooseberrymoor/http/http_server.cpp
+++ b/gooseberrymoor/http/http_server.cpp
@@ -164,7 +164,7 @@
 {
     m_draining = true;
     m_stopping = true;
-    acceptPending();
+    acceptPending(); // closing the acceptor would reset them, although requests may have been sent
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
     for (const idle_connection *idle : m_idle) {
@@ -173,8 +173,7 @@
     }
 }
 
-// Accepts the connections that clients have already opened: closing the acceptor would reset them,
-// although their requests may have been sent.
+// Accepts the connections that clients have already opened.
 void http_server::acceptPending()
 {
     boost::system::error_code error;
@@ -210,6 +209,8 @@
             continue;
         }
         startServing(std::move(socket));
+        // A busy process gets here seldom; one connection at a time would leave the others waiting.
+        acceptPending();
     }
 }
 
--- a/gooseberrymoor/http/http_test.cpp
+++ b/gooseberrymoor/http/http_test.cpp
@@ -29,8 +29,11 @@
 public:
     asio::awaitable<http_reply> handle(http_request request) override
     {
+        abandoned += request.abandoned->isCancelled() ? 1 : 0;
         co_return http_reply(200, request.body);
     }
+
+    int abandoned = 0; // requests whose clients had gone when they were read
 };
 
 struct running_server
@@ -123,7 +126,7 @@
     }
 }
 
-TEST_CASE("An HTTP server stops while clients have just sent requests")
+TEST_CASE("An HTTP server is busy or stops while clients have just sent requests")
 {
     constexpr int clients = 20;
     running_server server;
@@ -172,6 +175,22 @@
         server.server.stopAccepting();
         CHECK(answered() == clients);
     }
+    SUBCASE("and learns of clients that have gone before it reads their requests")
+    {
+        sendAll();
+        sockets.clear();
+        server.server.stopAccepting();
+        server.context.run();
+        CHECK(server.handler.abandoned == clients);
+    }
+    SUBCASE("and accepts all that wait at once when it is busy")
+    {
+        while (server.server.openConnections() == 0)
+            server.context.run_one();
+        CHECK(server.server.openConnections() == clients);
+        server.server.stopAccepting();
+        server.context.run();
+    }
     SUBCASE("but does not wait for a connection without a request")
     {
         server.server.stopAccepting();
