--- a/gooseberrymoor/replica/replica_backpressure.h
+++ b/gooseberrymoor/replica/replica_backpressure.h
@@ -6,7 +6,7 @@
 
 struct reply_signals;
 
-// Which of a target's requests to be spared a reply brought news of.
+// What a reply changed in the `replica_backpressure` of its target. Value type.
 struct backpressure_change
 {
     bool leavingStarted = false;
--- a/gooseberrymoor/replica/replica_set.cpp
+++ b/gooseberrymoor/replica/replica_set.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t max_removed_replicas = 4096; // whose requests to be spared are remembered
+constexpr std::size_t max_removed_replicas = 4096; // whose backpressure is remembered
 
 bool isSameInstance(const replica &left, const replica &right)
 {
