Review: a removed leaf stays in use on all machines while one machine's path to the store flaps

Script review/2: the reader is cut from the store for 0.65 s each 1.65 s, nine times; a leaf's entry is removed meanwhile.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -128,9 +128,9 @@
                 method, target, _ = line.split(" ", 2)
                 path, _, query = target.partition("?")
                 arguments = dict(p.split("=", 1) for p in query.split("&") if "=" in p)
+                await self.while_cut(node)
                 status, answer = await self.answer(method, path, arguments, body)
-                while node in self.cut:
-                    await asyncio.sleep(0.02)
+                await self.while_cut(node)
                 writer.write(encode_reply(status, [("Content-Type", "application/json")],
                                           json.dumps(answer).encode()))
                 await writer.drain()
@@ -140,6 +140,10 @@
             self.writers[node].discard(writer)
             writer.close()
 
+    async def while_cut(self, node):
+        while node in self.cut:
+            await asyncio.sleep(0.01)
+
     async def answer(self, method, path, arguments, body):
         await asyncio.sleep(0.004)
         if path == "/kv-range":
