Review: a cold leaf gets more than it bears when all nodes start together

Script review/3: 9 nodes killed at once for 1.6 s while the leafs of a service come back cold; the service states cold_per_s = 5, so 12.5 requests a second are the limit.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -221,10 +221,21 @@
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.cold_remaining_ms = 0
+        self.writers = set()
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.host, self.port)
 
+    def crash(self):
+        self.server.close()
+        for each in list(self.writers):
+            each.transport.abort()
+
+    async def start_again(self, name):
+        """At the same address, as another instance."""
+        self.name, self.born, self.sequence = name, int(time.time() * 1000), 0
+        await self.start()
+
     def entry(self, state="ready"):
         self.sequence += 1
         return {"service": self.service, "address": f"{self.host}:{self.port}",
@@ -236,6 +247,7 @@
         return f"{self.running},{self.waiting},{self.slots}"
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         late = []  # extra answers, sent where the next answer is expected
         try:
             while True:
@@ -253,6 +265,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def handle(self, line, headers, body):
