--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""Another writer overwrites a leaf's entry with one that names another service and has no sequence."""
+"""One node loses the store for a second, again and again, while a leaf's entry is removed."""
 
 import asyncio
 import pathlib
@@ -7,60 +7,74 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 from stand_ins import TROUBLE, Client, Leaf, beat, configuration, main, route
 
-NODES, CLIENTS = 3, 12
+NODES, LEAFS, CLIENTS = 3, 4, 12
 ZONES = ["kv-a", "kv-b", "kv-c"]
-WRITES, WRITE_EVERY_S = 4, 2.0
+DRAIN_S = 3
+CUT_S, PERIOD_S, CUTS = 0.65, 1.65, 9
+REMOVED_AFTER_CUTS = 3
 
 
 async def case(site):
     await site.start_store(NODES)
-    for number in range(6):
-        service = "registry" if number < 3 else "parent-app"
-        leaf = await site.add_leaf(Leaf, f"i-{number}", service, ZONES[number % 3], queue=24)
-        site.task(beat(site.store, leaf))
-    await site.store.put("op/config", configuration(7, [route("ids", "/ids/", "registry")],
-                                                    ["registry", "parent-app"]))
+    beats = []
+    for number in range(LEAFS):
+        leaf = await site.add_leaf(Leaf, f"i-{number}", "registry", ZONES[(number + 1) % 3], queue=24)
+        beats.append(asyncio.create_task(beat(site.store, leaf)))
+    await site.store.put("op/config", configuration(7, [route("laps", "/laps/", "registry")], ["registry"]))
     for node in range(NODES):
         site.start_node(node, ZONES[node])
     await site.until_ready(range(NODES))
-    await asyncio.sleep(1.5)
-    foreign = []
-    sent = 0
+    await asyncio.sleep(5)
+    sent = {}
     stopped = False
 
     async def client(number):
-        nonlocal sent
-        connection = Client(site.record, site.address(number % NODES))
+        connection = Client(site.record, site.address(1 + number % (NODES - 1)))
         count = 0
         while not stopped:
             count += 1
-            sent += 1
             attempt = f"c{number}x{count}"
-            status, _, body = await connection.send("GET", f"/ids/{attempt}", attempt, 4000)
-            if status == 200 and body.split(b" ")[0] in (b"i-3", b"i-4", b"i-5"):
-                foreign.append(attempt)
-                site.record.write(f"{attempt} got the answer of parent-app's leaf: {body.decode()}")
+            sent[attempt] = site.record.now()
+            await connection.send("GET", f"/laps/{attempt}", attempt, 4000)
             await asyncio.sleep(0.05)
 
+    async def cuts():
+        for count in range(CUTS):
+            if TROUBLE:
+                site.record.write("node 0 is partitioned from the store")
+                site.store.cut.add(0)
+            await asyncio.sleep(CUT_S)
+            if TROUBLE:
+                site.record.write("node 0 reaches the store")
+            site.store.cut.discard(0)
+            if count + 1 == REMOVED_AFTER_CUTS:
+                await asyncio.sleep(0.4)
+                beats[0].cancel()
+                await site.store.delete("servers/i-0")
+                site.removed = site.record.now()
+                site.record.write("the entry of i-0 is removed; it goes on serving")
+                await asyncio.sleep(PERIOD_S - CUT_S - 0.4)
+            else:
+                await asyncio.sleep(PERIOD_S - CUT_S)
+
     clients = [asyncio.create_task(client(number)) for number in range(CLIENTS)]
-    for _ in range(WRITES):
-        await asyncio.sleep(WRITE_EVERY_S)
-        entry = site.leafs[3].entry()
-        site.leafs[3].sequence -= 1
-        entry["service"] = "registry"
-        del entry["sequence"]
-        if TROUBLE:
-            site.record.write(f"another writer writes servers/i-3: {entry}")
-            await site.store.put("servers/i-3", entry)
-    await asyncio.sleep(WRITE_EVERY_S)
+    await cuts()
+    await asyncio.sleep(2)
     stopped = True
     await asyncio.gather(*clients)
-    runs = [attempt for leaf in site.leafs[3:] for _, attempt in leaf.runs]
-    summary = (f"{sent} requests on a route to registry; run by leafs of parent-app: {len(runs)}; "
-               f"answered with their answers: {len(foreign)}")
+    for each in beats:
+        each.cancel()
+    due = site.removed + DRAIN_S
+    leaf = site.leafs[0]
+    last = max([at for at, _ in leaf.arrivals], default=0) - site.removed
+    late = [(at, attempt) for at, attempt in leaf.arrivals if at > due and sent[attempt] > due]
+    summary = (f"{len(sent)} requests by way of nodes 1 and 2; the last reached the removed leaf "
+               f"{last:.2f} s after its entry was removed; {len(late)} were sent and reached it later than {DRAIN_S} s")
     site.record.write(summary)
+    for at, attempt in late:
+        site.record.write(f"DRAIN: {attempt} reached i-0 at {at:.3f}")
     print(summary)
-    return not runs
+    return not late
 
 
 main(pathlib.Path(__file__).resolve().parent, case)
