Tell an outage of the store from the failure of one node's path to it

Cause: each failed call counted as an outage of the store; the reader passed its outage on to all nodes, although they had been served in between; and each outage put off all removals that already waited. Evidence: a trace of what nodes 1 and 2 took over. With 429 to 826 ms left until the removal, each update of node 0 (failed 274 to 400 ms ago) set the wait to 2.1 s again, while the last served read that they knew of was 179 to 1,370 ms old. So neither a late removal notice nor the election was at fault. Change: store_availability gathers served reads and failures for all followers of a node. 2 s without any served read are an outage and put off waiting removals; a failed call delays only what is read after it, on this node alone; a peer's report counts for the time before the node's own first read only; a removal that waits is applied only while the store serves. Why it works: whichever single path fails, another node reads and passes its updates on within 2 s, so the others see no outage and remove at once; a real outage leaves everybody without reads.

--- a/gooseberrymoor/mirror/mirror_follower.cpp
+++ b/gooseberrymoor/mirror/mirror_follower.cpp
@@ -5,6 +5,7 @@
 #include "gooseberrymoor/mirror/mirror_relay.h"
 #include "gooseberrymoor/mirror/mirror_update.h"
 #include "gooseberrymoor/mirror/reader_election.h"
+#include "gooseberrymoor/mirror/store_availability.h"
 #include "gooseberrymoor/store/key_value_store.h"
 
 #include <algorithm>
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr duration reader_check_interval { 100 }; // between checks whether to read the store
+constexpr duration removal_check_interval { 100 }; // while a removal waits for the store
 constexpr duration initial_retry_delay { 100 };
 constexpr duration max_retry_delay { 800 };
 constexpr unsigned max_doublings = 3;
@@ -62,8 +64,11 @@
 {
     const time_point until = millis_clock::now() + time;
     while (!m_stopped && millis_clock::now() < until) {
-        co_await m_wake.wait(std::min(until, m_dependencies.mirror.nextTimedChange()));
-        m_dependencies.mirror.onTime(millis_clock::now());
+        const time_point next = std::max(m_dependencies.mirror.nextTimedChange(),
+                                         millis_clock::now() + removal_check_interval);
+        co_await m_wake.wait(std::min(until, next));
+        if (m_dependencies.availability.hasServedRecently(millis_clock::now()))
+            m_dependencies.mirror.onTime(millis_clock::now());
     }
 }
 
@@ -71,6 +76,8 @@
 {
     const time_point now = millis_clock::now();
     store_mirror &mirror = m_dependencies.mirror;
+    onServed(now);
+    m_dependencies.availability.onOutageReported(now - update.storeHealthyFor);
     if (mirror.revision() == 0)
         return;
     if (mirror.revision() < update.fromRevision) {
@@ -78,10 +85,6 @@
         m_hasMissedUpdate = true;
         return;
     }
-    // The reader has seen an outage later than any that this node knows, so removals are delayed
-    // from that outage on.
-    if (update.storeHealthyFor < mirror.storeHealthyFor(now))
-        mirror.onOutage(now - update.storeHealthyFor);
     mirror.onChanges(update.changes, update.toRevision, now);
     m_currentAsOf = now;
 }
@@ -92,7 +95,7 @@
     if (!m_dependencies.election.isReader(now))
         return;
     m_dependencies.relay.publish({ m_prefix, fromRevision, m_dependencies.mirror.revision(),
-                                   m_dependencies.mirror.storeHealthyFor(now),
+                                   m_dependencies.availability.healthyFor(now),
                                    std::move(changes) });
 }
 
@@ -127,7 +130,7 @@
     const auto read = co_await m_dependencies.store.readChanges(m_prefix, before, maxWait);
     if (!read && read.error().failure == store_failure::history_lost) {
         m_dependencies.log.write("store_history_lost", { { "prefix", m_prefix } });
-        m_dependencies.mirror.onOutage(millis_clock::now());
+        m_dependencies.availability.onCallFailed(millis_clock::now());
         m_mustReadAll = true;
         co_return co_await readAll();
     }
@@ -146,7 +149,7 @@
     ++m_consecutiveFailures;
     m_dependencies.election.setStoreLost(true);
     m_dependencies.events.add("mirror_reads_failed");
-    m_dependencies.mirror.onOutage(millis_clock::now());
+    m_dependencies.availability.onCallFailed(millis_clock::now());
     if (m_isStoreReachable || m_consecutiveFailures == 1)
         m_dependencies.log.write(
             "store_lost",
@@ -159,6 +162,7 @@
 
 void mirror_follower::onReadSucceeded(time_point startedAt)
 {
+    onServed(millis_clock::now());
     m_currentAsOf = startedAt;
     m_consecutiveFailures = 0;
     m_hasMissedUpdate = false;
@@ -169,6 +173,14 @@
     m_dependencies.log.write("store_reached", { { "prefix", m_prefix } });
 }
 
+void mirror_follower::onServed(time_point now)
+{
+    if (!m_dependencies.availability.onServed(now))
+        return;
+    m_dependencies.events.add("store_outages");
+    m_dependencies.log.write("store_outage_ended", { { "prefix", m_prefix } });
+}
+
 // Exponential backoff; jitter reduces the delay by up to a half.
 duration mirror_follower::nextRetryDelay()
 {
--- a/gooseberrymoor/mirror/mirror_follower.h
+++ b/gooseberrymoor/mirror/mirror_follower.h
@@ -14,6 +14,7 @@
 class key_value_store;
 class mirror_relay;
 class reader_election;
+class store_availability;
 struct mirror_update;
 struct store_error;
 
@@ -34,6 +35,7 @@
 {
     key_value_store &store;
     store_mirror &mirror;
+    store_availability &availability; // shared by all followers of the node
     mirror_relay &relay;
     reader_election &election;
     event_log &log;
@@ -78,6 +80,7 @@
     asio::awaitable<bool> readChanges();
     void onReadFailed(const store_error &error);
     void onReadSucceeded(time_point startedAt);
+    void onServed(time_point now);
     duration nextRetryDelay();
 
     void publish(std::int64_t fromRevision, std::vector<store_change> changes);
--- a/gooseberrymoor/mirror/store_mirror.cpp
+++ b/gooseberrymoor/mirror/store_mirror.cpp
@@ -1,6 +1,7 @@
 #include "gooseberrymoor/mirror/store_mirror.h"
 
 #include "gooseberrymoor/mirror/mirror_listener.h"
+#include "gooseberrymoor/mirror/store_availability.h"
 #include "gooseberrymoor/store/store_entry.h"
 
 #include <algorithm>
@@ -8,14 +9,9 @@
 
 namespace gooseberrymoor {
 
-namespace {
-
-constexpr duration max_healthy_duration { 24 * 3'600'000 };
-
-} // namespace
-
-store_mirror::store_mirror(mirror_listener &listener, duration reregistrationTime)
-    : m_listener(listener), m_reregistrationTime(reregistrationTime)
+store_mirror::store_mirror(mirror_listener &listener, const store_availability &availability,
+                           duration reregistrationTime)
+    : m_listener(listener), m_availability(availability), m_reregistrationTime(reregistrationTime)
 {
 }
 
@@ -59,19 +55,11 @@
     return significantChanges;
 }
 
-void store_mirror::onOutage(time_point now)
-{
-    m_lastOutage = now;
-    m_hadOutage = true;
-    for (auto &[key, removalTime] : m_pendingRemovals)
-        removalTime = now + m_reregistrationTime;
-}
-
 void store_mirror::onTime(time_point now)
 {
     std::vector<std::string> due;
-    for (const auto &[key, removalTime] : m_pendingRemovals) {
-        if (removalTime <= now)
+    for (const auto &[key, scheduledTime] : m_pendingRemovals) {
+        if (dueTime(scheduledTime) <= now)
             due.push_back(key);
     }
     for (const std::string &key : due) {
@@ -81,16 +69,11 @@
     }
 }
 
-duration store_mirror::storeHealthyFor(time_point now) const
-{
-    return m_hadOutage ? now - m_lastOutage : max_healthy_duration;
-}
-
 time_point store_mirror::nextTimedChange() const
 {
     time_point next = time_point::max();
-    for (const auto &[key, removalTime] : m_pendingRemovals)
-        next = std::min(next, removalTime);
+    for (const auto &[key, scheduledTime] : m_pendingRemovals)
+        next = std::min(next, dueTime(scheduledTime));
     return next;
 }
 
@@ -121,8 +104,17 @@
 
 void store_mirror::scheduleRemoval(const std::string &key, time_point now)
 {
-    const bool isStoreHealthy = !m_hadOutage || now - m_lastOutage >= m_reregistrationTime;
-    m_pendingRemovals.try_emplace(key, isStoreHealthy ? now : m_lastOutage + m_reregistrationTime);
+    const auto outage = m_availability.lastSuspectedOutage();
+    m_pendingRemovals.try_emplace(key,
+                                  outage ? std::max(now, *outage + m_reregistrationTime) : now);
+}
+
+// A later outage of the store delays a removal further, a later failure of this node's path does
+// not.
+time_point store_mirror::dueTime(time_point scheduledTime) const
+{
+    const auto outage = m_availability.lastOutage();
+    return outage ? std::max(scheduledTime, *outage + m_reregistrationTime) : scheduledTime;
 }
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/mirror/store_mirror_test.cpp
+++ b/gooseberrymoor/mirror/store_mirror_test.cpp
@@ -1,6 +1,7 @@
 #include "gooseberrymoor/mirror/store_mirror.h"
 
 #include "gooseberrymoor/mirror/mirror_listener.h"
+#include "gooseberrymoor/mirror/store_availability.h"
 #include "gooseberrymoor/store/store_entry.h"
 
 #include <doctest/doctest.h>
@@ -32,7 +33,8 @@
 TEST_CASE("A node's copy of the store")
 {
     recording_listener listener;
-    store_mirror mirror(listener, reregistration_time);
+    store_availability availability;
+    store_mirror mirror(listener, availability, reregistration_time);
     mirror.onFullRead({ 10, { { "a", "1", 5 }, { "b", "1", 9 } } }, start);
     REQUIRE(listener.values.size() == 2);
 
@@ -73,9 +75,9 @@
             CHECK(listener.values["a"] == "3");
         }
     }
-    SUBCASE("after an outage")
+    SUBCASE("after an outage, of which it knows by a failed call")
     {
-        mirror.onOutage(start + duration(100));
+        availability.onCallFailed(start + duration(100));
         SUBCASE("keeps a removed key for the re-registration time")
         {
             mirror.onChanges({ { "a", std::nullopt, 11 } }, 11, start + duration(200));
@@ -103,9 +105,49 @@
             CHECK(!listener.values.contains("a"));
         }
     }
+    // Guards against review/4: each failed call of one node put off all waiting removals on all
+    // nodes.
+    SUBCASE("while this node's path to the store fails again and again")
+    {
+        const duration failurePeriod { 1650 };
+        time_point now = start;
+        const auto playFailuresUntil = [&](time_point until) {
+            for (; now < until; now += duration(50)) {
+                if ((now - start) % failurePeriod == duration(0))
+                    availability.onCallFailed(now);
+                if ((now - start) % duration(500) == duration(0))
+                    availability.onServed(now); // a peer has read the store
+                mirror.onTime(now);
+            }
+        };
+        playFailuresUntil(start + duration(5000));
+        mirror.onChanges({ { "a", std::nullopt, 11 } }, 11, now);
+        SUBCASE("removes a key after the re-registration time at the latest")
+        {
+            playFailuresUntil(now + reregistration_time + duration(100));
+            CHECK(!listener.values.contains("a"));
+        }
+    }
+    SUBCASE("while outages of the store follow each other")
+    {
+        availability.onServed(start);
+        availability.onCallFailed(start + duration(3000));
+        availability.onServed(start + duration(3100));
+        mirror.onChanges({ { "a", std::nullopt, 11 } }, 11, start + duration(3100));
+        availability.onCallFailed(start + duration(5200));
+        availability.onServed(start + duration(5400));
+        SUBCASE("keeps a removed key for the re-registration time after the last one")
+        {
+            mirror.onTime(start + duration(7600));
+            CHECK(listener.values.contains("a"));
+            mirror.onTime(start + duration(7700));
+            CHECK(!listener.values.contains("a"));
+        }
+    }
     CHECK(rc::check("matches the store after overlapping and repeated batches of changes", [] {
         recording_listener recorder;
-        store_mirror copy(recorder, duration(0));
+        const store_availability healthy;
+        store_mirror copy(recorder, healthy, duration(0));
         std::map<std::string, std::string> expected;
         std::vector<store_change> history;
         for (std::int64_t revision = 1; revision <= 30; ++revision) {
@@ -132,7 +174,8 @@
     }));
     CHECK(rc::check("never contains a key that was removed by its revision", [] {
         recording_listener recorder;
-        store_mirror copy(recorder, duration(0));
+        const store_availability healthy;
+        store_mirror copy(recorder, healthy, duration(0));
         std::vector<store_change> history;
         std::vector<std::map<std::string, store_entry>> states(1); // by revision
         for (std::int64_t revision = 1; revision <= 30; ++revision) {
--- a/gooseberrymoor/tier/fleet_node.h
+++ b/gooseberrymoor/tier/fleet_node.h
@@ -15,6 +15,7 @@
 #include "gooseberrymoor/forward/repeat_budget.h"
 #include "gooseberrymoor/mirror/mirror_follower.h"
 #include "gooseberrymoor/mirror/mirror_relay.h"
+#include "gooseberrymoor/mirror/store_availability.h"
 #include "gooseberrymoor/mirror/store_mirror.h"
 #include "gooseberrymoor/peer/peer_network.h"
 #include "gooseberrymoor/replica/cold_target_limiter.h"
@@ -139,6 +140,7 @@
     fleet_view m_fleet;
     zone_relay_topology m_relayTopology;
     mirror_relay m_relay;
+    store_availability m_storeAvailability;
     store_mirror m_operatorMirror;
     store_mirror m_replicaMirror;
     store_mirror m_fleetMirror;
--- a/testing/fuzz/decoder_fuzz_test.cpp
+++ b/testing/fuzz/decoder_fuzz_test.cpp
@@ -7,6 +7,7 @@
 #include "gooseberrymoor/mirror/mirror_listener.h"
 #include "gooseberrymoor/mirror/mirror_update.h"
 #include "gooseberrymoor/mirror/mirror_update_codec.h"
+#include "gooseberrymoor/mirror/store_availability.h"
 #include "gooseberrymoor/mirror/store_mirror.h"
 #include "gooseberrymoor/replica/cold_target_limiter.h"
 #include "gooseberrymoor/replica/expected_wait_selector.h"
@@ -162,11 +163,13 @@
     if (!update)
         return false;
     discarding_listener listener;
-    store_mirror mirror(listener, duration(2500));
+    store_availability availability;
+    store_mirror mirror(listener, availability, duration(2500));
     mirror.onFullRead({ 3, {} }, now);
-    mirror.onOutage(now - update->storeHealthyFor);
+    availability.onOutageReported(now - update->storeHealthyFor);
     mirror.onChanges(update->changes, update->toRevision, now);
-    mirror.storeHealthyFor(now);
+    mirror.nextTimedChange();
+    availability.healthyFor(now);
     return true;
 }
 
--- a/testing/platform_stand_in/small_site.cpp
+++ b/testing/platform_stand_in/small_site.cpp
@@ -21,6 +21,7 @@
 constexpr duration max_run_time { 15'000 };
 constexpr std::uint16_t store_port = 24000;
 constexpr std::uint16_t first_leaf_port = 24010;
+constexpr std::uint16_t first_store_path_port = 24050;
 constexpr std::uint16_t caller_port = 24100;
 constexpr std::uint16_t directory_port = 24101;
 constexpr std::uint16_t peer_port = 24102;
@@ -134,7 +135,27 @@
 
 void small_site::startNode(int index)
 {
-    m_nodes[index] = std::make_unique<small_node>(settingsOf(index));
+    openStorePath(index);
+    platform::platform_settings settings = settingsOf(index);
+    settings.storeAddress = storeAddressOf(index);
+    m_nodes[index] = std::make_unique<small_node>(settings);
+}
+
+void small_site::openStorePath(int index)
+{
+    store_path &path = m_storePaths[index];
+    if (path.handler)
+        return;
+    path.handler = std::make_unique<store_path_stand_in>(m_context.get_executor(), *m_store);
+    path.server = std::make_unique<http_server>(m_context.get_executor(), *path.handler, m_events,
+                                                max_body_bytes);
+    if (const auto started = path.server->start(storeAddressOf(index)); !started)
+        throw std::runtime_error(started.error());
+}
+
+void small_site::setCutFromStore(int index, bool cut)
+{
+    m_storePaths.at(index).handler->setCut(cut);
 }
 
 endpoint small_site::storeAddress() const
@@ -142,6 +163,11 @@
     return { host(1), store_port };
 }
 
+endpoint small_site::storeAddressOf(int index) const
+{
+    return { host(1), static_cast<std::uint16_t>(first_store_path_port + index) };
+}
+
 void small_site::killNode(int index)
 {
     m_nodes.erase(index);
--- a/testing/platform_stand_in/small_site.h
+++ b/testing/platform_stand_in/small_site.h
@@ -2,6 +2,7 @@
 
 #include "leaf_stand_in.h"
 #include "platform_store_stand_in.h"
+#include "store_path_stand_in.h"
 
 #include "gooseberrymoor/base/counters.h"
 #include "gooseberrymoor/base/event_log.h"
@@ -57,6 +58,10 @@
 
     small_node &node(int index);
 
+    // Cuts or restores the path of node `index` to the store; the other nodes reach it all the
+    // while.
+    void setCutFromStore(int index, bool cut);
+
     // Runs the stand-ins and nodes until `condition` holds. Returns false on a timeout.
     bool runUntil(const std::function<bool()> &condition);
     void runFor(duration time);
@@ -80,6 +85,9 @@
 
     endpoint storeAddress() const;
 
+    // The address at which the store serves node `index` alone.
+    endpoint storeAddressOf(int index) const;
+
     // The settings of node `index`.
     platform::platform_settings settingsOf(int index) const;
 
@@ -92,6 +100,14 @@
     void write(const leaf_stand_in &leaf, const std::string &state = "ready");
 
 private:
+    // The store as node `index` reaches it.
+    struct store_path
+    {
+        std::unique_ptr<store_path_stand_in> handler;
+        std::unique_ptr<http_server> server;
+    };
+
+    void openStorePath(int index);
     void addLeaf(const std::string &service, int zone, const std::string &body);
     void pollAll();
 
@@ -101,6 +117,7 @@
     std::unique_ptr<http_server> m_storeServer;
     std::vector<std::unique_ptr<leaf_stand_in>> m_leafs;
     std::vector<std::unique_ptr<http_server>> m_leafServers;
+    std::map<int, store_path> m_storePaths; // by node
     std::map<int, std::unique_ptr<small_node>> m_nodes;
     std::string m_network; // "127.x.y."
 };
