Keep a stopping node's share of the targets' connections

What callers saw: after the SIGTERM of one node in calm, with idle targets, requests that it had accepted waited for up to 4.1 s for a target; some were cut while they ran, others were never passed on and got no answer, among them requests that must not run twice. Cause: a node that stops is no longer one of the nodes that callers are sent to, so it gave up its share of the targets' connections and used one a target, while its callers went on using it. Ruled out: the wait for the retry budget (nothing was rejected). Test: platform_test "A node stops while callers go on using it": 1 request at a time at each target before, more now.

--- a/gooseberrymoor/tier/fleet_node.cpp
+++ b/gooseberrymoor/tier/fleet_node.cpp
@@ -194,11 +194,14 @@
     updateServingNodes();
 }
 
-// Only nodes that callers are sent to share the targets' connections.
+// Only nodes that callers are sent to share the targets' connections. A stopping node keeps its
+// share, since callers still use it.
 void fleet_node::updateServingNodes()
 {
     const time_point now = millis_clock::now();
     m_servingNodesUpdatedAt = now;
+    if (m_stopSchedule)
+        return;
     std::set<std::string> serving = m_fleet.servingNodes(now);
     if (serving == m_servingNodes)
         return;
--- a/testing/platform_stand_in/leaf_stand_in.cpp
+++ b/testing/platform_stand_in/leaf_stand_in.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace gooseberrymoor {
 
 namespace {
@@ -39,7 +41,9 @@
     ++m_runs;
     ++m_runsById[attempt];
     timer work(co_await asio::this_coro::executor, millis_clock::now() + m_latency);
+    m_maxRunning = std::max(m_maxRunning, ++m_running);
     co_await work.async_wait(as_result);
+    --m_running;
     if (m_faultMode == leaf_fault_mode::lost_reply)
         throw std::runtime_error("reply lost"); // makes the server close the connection
     http_reply reply(m_faultMode == leaf_fault_mode::failing ? 500 : 200, m_body);
--- a/testing/platform_stand_in/leaf_stand_in.h
+++ b/testing/platform_stand_in/leaf_stand_in.h
@@ -58,6 +58,9 @@
     int runsOf(const std::string &attemptId) const;
     int runs() const { return m_runs; }
 
+    // The highest number of requests that ran at the same time.
+    int maxRunning() const { return m_maxRunning; }
+
     // How many requests have arrived, refused ones included.
     int arrivals() const { return m_arrivals; }
 
@@ -74,6 +77,8 @@
     duration m_latency { 1 };
     std::map<std::string, int> m_runsById;
     int m_runs = 0;
+    int m_running = 0;
+    int m_maxRunning = 0;
     int m_arrivals = 0;
     int m_incarnation = 1;
     bool m_leaving = false;
