Refuse what waits in a stopping node before it ends

Cause: a waiting request was looked at again until its own deadline only; nothing told it that its node ends before. Change: forwarder::setEnd gives each request a latest time to be sent, the node's end less the 0.99 quantile of the route's responses or the caller's time. After it nothing is sent, and what has nothing under way is refused as not run; what runs has the whole stop time. Why it works: each request's task wakes at its latest time, takes back what is queued, and ends with an answer while the node still runs.

--- a/gooseberrymoor/forward/forward_timing.cpp
+++ b/gooseberrymoor/forward/forward_timing.cpp
@@ -10,6 +10,8 @@
 
 constexpr duration caller_round_trip { 12 }; // between caller and node
 constexpr duration connection_setup_time { 7 }; // before the first request on a connection
+constexpr duration response_margin { 100 }; // for passing a response on to the caller
+constexpr duration min_response_time { 300 }; // targets pause for a few hundred milliseconds
 constexpr duration min_hedge_delay { 5 };
 constexpr double min_hedge_fraction = 0.2; // of the target latency
 constexpr double max_hedge_fraction = 0.45; // of the target latency
@@ -42,6 +44,14 @@
     return std::clamp(typicalLatency, earliest, latest);
 }
 
+time_point latestSendTime(const route &route, duration typicalLatency, duration maxTime,
+                          time_point end)
+{
+    const duration expected = std::max(
+        min_response_time, typicalLatency > duration(0) ? typicalLatency : route.targetLatency);
+    return end - std::min(expected, maxTime) - response_margin;
+}
+
 duration retryAfter(duration remaining, bool hadTargets, duration untilAvailable)
 {
     if (untilAvailable > duration(0) && untilAvailable < remaining)
--- a/gooseberrymoor/forward/forward_timing.h
+++ b/gooseberrymoor/forward/forward_timing.h
@@ -17,6 +17,12 @@
 // the second target still has time to respond.
 duration hedgeDelay(const route &route, duration typicalLatency);
 
+// Latest time at which a request may be sent to a target so that its response arrives before the
+// process ends at `end`. `typicalLatency` is as above, `maxTime` the time until the request's
+// deadline.
+time_point latestSendTime(const route &route, duration typicalLatency, duration maxTime,
+                          time_point end);
+
 // Suggested delay before a refused caller retries: short if the targets were full, longer if no
 // target was known, as just after a restart. Never more than a fraction of `remaining`, the time
 // until the caller's deadline. If no target accepts requests before `untilAvailable` has passed,
--- a/gooseberrymoor/forward/forward_timing_test.cpp
+++ b/gooseberrymoor/forward/forward_timing_test.cpp
@@ -47,6 +47,24 @@
             CHECK(hedgeDelay(urgent, duration(500)) == duration(27));
         }
     }
+    SUBCASE("when the node stops, a request is sent only if its response can arrive before the end")
+    {
+        const time_point end = arrived + duration(5500);
+        const route slow = routeWith(duration(1000));
+        CHECK(latestSendTime(slow, duration(2600), duration(5000), end) == end - duration(2700));
+        SUBCASE("by the target latency if no response has been measured yet")
+        {
+            CHECK(latestSendTime(slow, duration(0), duration(5000), end) == end - duration(1100));
+        }
+        SUBCASE("with time for a pause of the target")
+        {
+            CHECK(latestSendTime(urgent, duration(5), duration(5000), end) == end - duration(400));
+        }
+        SUBCASE("and no longer than the caller waits")
+        {
+            CHECK(latestSendTime(slow, duration(2600), duration(200), end) == end - duration(300));
+        }
+    }
     SUBCASE("a refused caller retries soon if targets were full")
     {
         CHECK(retryAfter(duration(5000), true) == duration(100));
--- a/gooseberrymoor/forward/forwarder.cpp
+++ b/gooseberrymoor/forward/forwarder.cpp
@@ -22,6 +22,7 @@
 namespace {
 
 constexpr double hedge_quantile = 0.95;
+constexpr double completion_quantile = 0.99;
 constexpr double min_latency_samples = 20; // for a meaningful quantile
 constexpr std::size_t max_logged_calls = 4; // per log line
 constexpr std::size_t max_untrimmed_part_bytes = 4096; // a longer part is reduced on arrival
@@ -54,6 +55,7 @@
     }
 
     std::shared_ptr<const caller_request> request;
+    std::shared_ptr<const route> forwardedRoute;
     std::vector<std::string> services;
     time_point deadline;
     std::vector<std::optional<leaf_call_result>> responses; // by shard; successes only
@@ -65,11 +67,19 @@
     std::map<std::uint64_t, time_point> sentAt;
     duration targetLatency { 0 };
     int priority = 0;
+    time_point sendBefore = time_point::max(); // when the node stops; nothing is sent later
     std::size_t maxRecords = 0; // of a sharded response
     std::string slowestService; // of the shards that have responded
     std::string slowestTarget;
     duration slowestTime { 0 };
 
+    // When to check what to send next.
+    time_point nextWake(time_point now) const
+    {
+        const time_point next = run.nextWake(now);
+        return run.isSendingStopped() ? next : std::min(next, sendBefore);
+    }
+
     // The first few calls in progress, formatted as "service@target" and separated by commas.
     std::string pendingCallsText() const
     {
@@ -106,7 +116,10 @@
     active.targetLatency = route->targetLatency;
     active.priority = route->priority;
     active.maxRecords = route->maxRecords;
+    active.forwardedRoute = route;
     ++m_running;
+    m_active.insert(&active);
+    updateSendBefore(active);
     bool callerDisconnected = false;
     if (request->abandoned) {
         request->abandoned->setListener(
@@ -116,18 +129,23 @@
             });
         callerDisconnected = request->abandoned->isCancelled();
     }
-    if (!callerDisconnected)
+    if (millis_clock::now() >= active.sendBefore)
+        active.run.stopSending();
+    else if (!callerDisconnected)
         sendAll(active, active.run.start(millis_clock::now()));
     while (!callerDisconnected && !active.run.isComplete(millis_clock::now())) {
         if (active.completionQueue->completions.empty())
-            co_await active.completionQueue->wake.wait(active.run.nextWake(millis_clock::now()));
+            co_await active.completionQueue->wake.wait(active.nextWake(millis_clock::now()));
         processCompletions(active);
+        if (millis_clock::now() >= active.sendBefore)
+            withdrawUnsent(active);
         if (!callerDisconnected && !active.run.isComplete(millis_clock::now()))
             sendAll(active, active.run.onTime(millis_clock::now()));
     }
     if (request->abandoned)
         request->abandoned->setListener({});
     --m_running;
+    m_active.erase(&active);
     forward_result result;
     if (callerDisconnected) {
         for (auto &[attempt, call] : active.calls)
@@ -156,6 +174,39 @@
     return false;
 }
 
+void forwarder::setEnd(time_point end)
+{
+    m_end = end;
+    for (active_request *each : m_active) {
+        updateSendBefore(*each);
+        each->completionQueue->wake.notify();
+    }
+}
+
+void forwarder::updateSendBefore(active_request &active)
+{
+    if (m_end == time_point::max())
+        return;
+    const duration typicalLatency = active.latency->weight() >= min_latency_samples
+        ? active.latency->quantile(completion_quantile)
+        : duration(0);
+    active.sendBefore = latestSendTime(*active.forwardedRoute, typicalLatency,
+                                       active.deadline - millis_clock::now(), m_end);
+    for (auto &[attempt, call] : active.calls)
+        call->sendBefore = active.sendBefore;
+}
+
+// Sends nothing more, and takes back what has not been sent.
+void forwarder::withdrawUnsent(active_request &active)
+{
+    if (active.run.isSendingStopped())
+        return;
+    active.run.stopSending();
+    for (const auto &[attempt, call] : active.calls)
+        m_dependencies.pool.withdrawQueued(call);
+    processCompletions(active);
+}
+
 run_plan forwarder::makePlan(const caller_request &request, const route &route)
 {
     run_plan plan;
@@ -187,6 +238,7 @@
         call->attempt = each.attempt;
         call->deadline = active.deadline;
         call->priority = active.priority;
+        call->sendBefore = active.sendBefore;
         active.calls[each.attempt] = call;
         active.sentAt[each.attempt] = millis_clock::now();
         if (each.reason != send_reason::first) {
--- a/gooseberrymoor/forward/forwarder.h
+++ b/gooseberrymoor/forward/forwarder.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -50,6 +51,10 @@
     asio::awaitable<forward_result> forward(std::shared_ptr<const caller_request> request,
                                             std::shared_ptr<const route> route);
 
+    // The process ends at `end`: sends a request only while its target can be expected to respond
+    // before, and refuses requests that then still wait to be sent.
+    void setEnd(time_point end);
+
     // Number of requests in progress.
     std::size_t running() const { return m_running; }
 
@@ -61,6 +66,8 @@
     struct active_request; // calls and responses of one caller's request
 
     bool isAdmitted(const caller_request &request, const route &route);
+    void updateSendBefore(active_request &active);
+    void withdrawUnsent(active_request &active);
     run_plan makePlan(const caller_request &request, const route &route);
     void sendAll(active_request &active, const std::vector<planned_attempt> &attempts);
     void processCompletions(active_request &active);
@@ -75,6 +82,8 @@
     latency_histogram m_requestTimes;
     latency_histogram m_targetTimes;
     std::size_t m_running = 0;
+    std::set<active_request *> m_active;
+    time_point m_end = time_point::max(); // of the process
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/forward/leaf_call.h
+++ b/gooseberrymoor/forward/leaf_call.h
@@ -26,6 +26,8 @@
     // The result is no longer needed. Unless a reply arrives, the call completes as
     // `attempt_outcome::abandoned`.
     bool cancelled = false;
+    // Sent before this time only; otherwise completed as not run. Set when the node stops.
+    time_point sendBefore = time_point::max();
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/forward/leaf_pool.cpp
+++ b/gooseberrymoor/forward/leaf_pool.cpp
@@ -101,14 +101,26 @@
 
 void leaf_pool::cancelQueued(const std::shared_ptr<leaf_call> &call)
 {
-    const auto found = m_targets.find(call->target.get());
-    if (found == m_targets.end() || std::erase(found->second->queuedCalls, call) == 0)
+    if (!removeQueued(call))
         return;
     leaf_call_result result;
     result.outcome = attempt_outcome::abandoned;
     complete(*call, std::move(result));
 }
 
+void leaf_pool::withdrawQueued(const std::shared_ptr<leaf_call> &call)
+{
+    if (removeQueued(call))
+        completeUnsent(*call);
+}
+
+// Returns whether `call` was queued.
+bool leaf_pool::removeQueued(const std::shared_ptr<leaf_call> &call)
+{
+    const auto found = m_targets.find(call->target.get());
+    return found != m_targets.end() && std::erase(found->second->queuedCalls, call) > 0;
+}
+
 // Removes and returns the queued call with the highest priority, in FIFO order within a priority;
 // null if the queue is empty.
 std::shared_ptr<leaf_call> leaf_pool::takeQueuedCall(target_connections &target)
@@ -361,7 +373,8 @@
 // after each wait.
 bool leaf_pool::mayBeSent(const leaf_call &call) const
 {
-    return !call.cancelled && millis_clock::now() < call.deadline && acceptsRequests(*call.target);
+    return !call.cancelled && millis_clock::now() < std::min(call.deadline, call.sendBefore)
+        && acceptsRequests(*call.target);
 }
 
 // Connects, or reconnects if the target has closed the connection.
--- a/gooseberrymoor/forward/leaf_pool.h
+++ b/gooseberrymoor/forward/leaf_pool.h
@@ -52,6 +52,9 @@
     // connection can be reused.
     void cancelQueued(const std::shared_ptr<leaf_call> &call);
 
+    // Completes `call` as not run if it is still queued.
+    void withdrawQueued(const std::shared_ptr<leaf_call> &call);
+
     // Cancels `call`. If it has been sent, closes its connection, so that the target stops
     // processing it.
     void cancel(const std::shared_ptr<leaf_call> &call);
@@ -93,6 +96,7 @@
     void closeIdle(target_connections &target, time_point since);
     void closeRemovedTargets();
     void failQueuedCalls(target_connections &target);
+    bool removeQueued(const std::shared_ptr<leaf_call> &call);
     void completeUnsent(leaf_call &call);
     void completeWithFailure(leaf_call &call, const http_failure &failure);
     bool mayBeSent(const leaf_call &call) const;
--- a/gooseberrymoor/forward/request_run.cpp
+++ b/gooseberrymoor/forward/request_run.cpp
@@ -178,6 +178,8 @@
 
 bool request_run::mayRetry(const shard_state &state) const
 {
+    if (m_isSendingStopped)
+        return false;
     if (state.mayHaveRun && m_plan.kind == request_kind::non_idempotent)
         return false;
     return state.possibleRuns < m_plan.maxAttempts && state.refusals < max_refusals;
@@ -185,9 +187,9 @@
 
 bool request_run::mayHedge(const shard_state &state) const
 {
-    return m_plan.hedgeDelay > duration(0) && m_plan.kind == request_kind::idempotent
-        && state.outstanding.size() == 1 && state.possibleRuns < m_plan.maxAttempts
-        && isWithinHedgeLimit();
+    return !m_isSendingStopped && m_plan.hedgeDelay > duration(0)
+        && m_plan.kind == request_kind::idempotent && state.outstanding.size() == 1
+        && state.possibleRuns < m_plan.maxAttempts && isWithinHedgeLimit();
 }
 
 // Whether no response from a shard is expected any more. A shard for which no target was found at
--- a/gooseberrymoor/forward/request_run.h
+++ b/gooseberrymoor/forward/request_run.h
@@ -35,6 +35,11 @@
     // Handles the time `nextWake`; returns the hedges and retries to send.
     std::vector<planned_attempt> onTime(time_point now);
 
+    // Plans no attempts from now on, so that the request is complete once no attempt is in
+    // progress.
+    void stopSending() { m_isSendingStopped = true; }
+    bool isSendingStopped() const { return m_isSendingStopped; }
+
     // Time at which to call `onTime` next.
     time_point nextWake(time_point now) const;
 
@@ -94,6 +99,7 @@
     std::vector<shard_state> m_shards;
     std::size_t m_answered = 0;
     std::uint64_t m_lastAttempt = 0;
+    bool m_isSendingStopped = false;
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/forward/request_run_test.cpp
+++ b/gooseberrymoor/forward/request_run_test.cpp
@@ -239,6 +239,25 @@
             CHECK(!again.hasDefinitelyNotRun());
         }
     }
+    SUBCASE("is not sent again when the node stops")
+    {
+        run.stopSending();
+        SUBCASE("and has certainly not run if its target refused it")
+        {
+            CHECK(run.onAttemptEnded(0, first.front().attempt, attempt_outcome::refused,
+                                     start + duration(5))
+                      .empty());
+            CHECK(run.isComplete(start + duration(5)));
+            CHECK(run.hasDefinitelyNotRun());
+        }
+        SUBCASE("and is answered if its target does")
+        {
+            CHECK(!run.isComplete(start + duration(5)));
+            run.onAttemptEnded(0, first.front().attempt, attempt_outcome::answered,
+                               start + duration(5));
+            CHECK(run.isSuccess());
+        }
+    }
     SUBCASE("is never hedged")
     {
         CHECK(run.onTime(start + duration(1000)).empty());
--- a/gooseberrymoor/tier/fleet_node.cpp
+++ b/gooseberrymoor/tier/fleet_node.cpp
@@ -88,6 +88,7 @@
 {
     const stop_schedule schedule(millis_clock::now(), m_settings.stopTime);
     m_stopSchedule = schedule;
+    m_forwarder.setEnd(schedule.end());
     m_log.write("node_leaving", { { "running", std::to_string(m_forwarder.running()) } });
     m_fleet.setLeaving();
     m_liveness.setLeaving();
