Pin that a reply that breaks off at any byte is never taken for a whole one

Operators of similar systems reported a head that broke off and reached callers as a 200 with an empty body.

--- a/gooseberrymoor/forward/leaf_pool_test.cpp
+++ b/gooseberrymoor/forward/leaf_pool_test.cpp
@@ -246,6 +246,24 @@
         env.send("a1");
         CHECK(env.next().outcome == attempt_outcome::lost);
     }
+    // Guards against a reply whose head breaks off being passed on as a complete empty one.
+    SUBCASE("are not answered with a reply that ends at any byte of its head or body")
+    {
+        const std::string chunkedReply
+            = "HTTP/1.1 200 OK\r\nId: a1\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "4\r\nbody\r\n0\r\n\r\n";
+        const std::string unframedHead = "HTTP/1.1 200 OK\r\nId: a1\r\n\r\n";
+        for (const std::string &whole : { good_reply, chunkedReply, unframedHead }) {
+            for (std::size_t length = 0; length < whole.size(); ++length) {
+                for (const bool reset : { false, true }) {
+                    CAPTURE(whole.substr(0, length));
+                    env.target.replies = { { whole.substr(0, length), !reset, reset } };
+                    env.send("a1");
+                    CHECK(env.next().outcome == attempt_outcome::lost);
+                }
+            }
+        }
+    }
     SUBCASE("are not answered with a reply of unknown length that ends with a reset")
     {
         env.target.replies = { { "HTTP/1.1 200 OK\r\nId: a1\r\n\r\nbody", false, true } };
