Take an entry that doesn't tell its start for the known one

Cause: replica_set::put took an entry without an incarnation for a new start and dropped what the target had asked for; the target's own next entry was one more new start. Removed targets that had asked for nothing weren't remembered, so that the same happened around a removal. Evidence: the property found each of the two by itself; the second only after the first was mended. Change: such an entry counts for the incarnation put last, which is remembered over removals as well (4,096 in all, those that asked for nothing go first).

--- a/gooseberrymoor/replica/replica_backpressure_test.cpp
+++ b/gooseberrymoor/replica/replica_backpressure_test.cpp
@@ -223,4 +223,35 @@
             }
         }
     }));
+    // Guards against a target that leaves being used again after an entry without its start.
+    CHECK(rc::check("of entries that don't tell the start, or name another service", [] {
+        fixture env;
+        bool hasLeft = false;
+        std::int64_t incarnation = 10;
+        for (int step = 0; step < 40; ++step) {
+            const int event = *rc::gen::inRange(0, 6);
+            replica entry = entryOf("r-1", incarnation);
+            if (event == 0) {
+                entry.incarnation = 0;
+                env.replicas.put(entry, start);
+            } else if (event == 1) {
+                entry.incarnation = 0;
+                entry.service = "laps";
+                env.replicas.put(entry, start);
+            } else if (event == 2) {
+                env.replicas.remove("r-1");
+            } else if (event == 3 && env.replicas.find("r-1")) {
+                env.reply("r-1", leavingSignal());
+                hasLeft = true;
+            } else if (event == 4) {
+                env.replicas.put(entry, start);
+            } else if (event == 5 && *rc::gen::inRange(0, 4) == 0) {
+                env.replicas.put(entryOf("r-1", ++incarnation), start);
+                hasLeft = false;
+            }
+            const auto known = env.replicas.find("r-1");
+            if (known)
+                RC_ASSERT(env.replicas.isEligible(*known) != hasLeft);
+        }
+    }));
 }
--- a/gooseberrymoor/replica/replica_set.cpp
+++ b/gooseberrymoor/replica/replica_set.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t max_removed_replicas = 4096; // whose backpressure is remembered
+constexpr std::size_t max_removed_replicas = 4096; // that are remembered
 
 bool isSameInstance(const replica &left, const replica &right)
 {
@@ -16,8 +16,11 @@
 
 } // namespace
 
-void replica_set::put(const replica &entry, time_point now)
+void replica_set::put(const replica &received, time_point now)
 {
+    replica entry = received;
+    if (entry.incarnation == 0)
+        entry.incarnation = lastIncarnation(entry.id);
     const auto known = find(entry.id);
     if (known && isSameInstance(known->entry, entry)) {
         if (known->entry.coldRemaining != entry.coldRemaining)
@@ -58,18 +61,31 @@
         m_byService.erase(removedTarget->entry.service);
 }
 
+// The incarnation of `id` that was put last; 0 if none is known.
+std::int64_t replica_set::lastIncarnation(const std::string &id) const
+{
+    if (const auto known = find(id))
+        return known->entry.incarnation;
+    const auto removed = m_removed.find(id);
+    return removed == m_removed.end() ? 0 : removed->second.incarnation;
+}
+
 // Without an incarnation, a later start could not be told from the one that asked.
 void replica_set::remember(const known_replica &target)
 {
-    if (!target.backpressure.isSet() || target.entry.incarnation == 0)
+    if (target.entry.incarnation == 0)
         return;
     m_removed[target.entry.id] = { target.entry.incarnation, target.backpressure };
     if (m_removed.size() <= max_removed_replicas)
         return;
-    m_removed.erase(std::min_element(m_removed.begin(), m_removed.end(),
-                                     [](const auto &left, const auto &right) {
-                                         return left.second.incarnation < right.second.incarnation;
-                                     }));
+    const auto forgetsEarlier = [](const auto &left, const auto &right) {
+        const bool leftIsSet = left.second.backpressure.isSet();
+        const bool rightIsSet = right.second.backpressure.isSet();
+        if (leftIsSet != rightIsSet)
+            return !leftIsSet;
+        return left.second.incarnation < right.second.incarnation;
+    };
+    m_removed.erase(std::min_element(m_removed.begin(), m_removed.end(), forgetsEarlier));
 }
 
 backpressure_change replica_set::onReply(known_replica &target, const reply_signals &signals,
--- a/gooseberrymoor/replica/replica_set.h
+++ b/gooseberrymoor/replica/replica_set.h
@@ -31,7 +31,8 @@
 public:
     // Inserts or updates a target. An entry with a changed address, service or incarnation is a
     // new instance and replaces the target, including its health. What a target asked for in its
-    // replies holds until it starts anew, even if it was removed in between.
+    // replies holds until it starts anew, even if it was removed in between. An entry without an
+    // incarnation is taken for the one that is known.
     void put(const replica &entry, time_point now);
 
     // Removes the target `id`, if it is present.
@@ -76,6 +77,7 @@
         replica_backpressure backpressure;
     };
 
+    std::int64_t lastIncarnation(const std::string &id) const;
     void remember(const known_replica &target);
 
     std::map<std::string, std::shared_ptr<known_replica>> m_byId;
