Don't take a forgotten history for an outage of the store

What callers saw: while the store forgets its history, requests went on to a removed target for 2.5 s more on every node. Cause: the answer that the history is lost counted as an outage, after which removals wait for the leases of living targets; but the store had answered, and what a full read lacks then is gone. Change: it no longer counts. Test: platform_test "the removal of a target while the store compacts its history again and again": failed before on all three nodes, holds now (2 of 2).

--- a/gooseberrymoor/mirror/mirror_follower.cpp
+++ b/gooseberrymoor/mirror/mirror_follower.cpp
@@ -130,7 +130,6 @@
     const auto read = co_await m_dependencies.store.readChanges(m_prefix, before, maxWait);
     if (!read && read.error().failure == store_failure::history_lost) {
         m_dependencies.log.write("store_history_lost", { { "prefix", m_prefix } });
-        m_dependencies.availability.onCallFailed(millis_clock::now());
         m_mustReadAll = true;
         co_return co_await readAll();
     }
