Name a reader's update by the revisions that it reports

Cause: while a reader waits for the store, another reader's update brings it a change. Its own read brings it again, which is no news, so that its update leaves it out; yet it named the update as the changes since the start of its read. A node without the other reader's update took it for complete, and dropped that update as old when it came. Change: store_mirror::onChanges returns the copy's revision before the changes, and the update is named by it; a node before that revision finds that it lacks something and reads the store. Test: mirror_test "reports the changes that a peer's update has not brought during its read"; with the old name of the update it fails (10 < 10).

--- a/gooseberrymoor/mirror/mirror_follower.cpp
+++ b/gooseberrymoor/mirror/mirror_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrymoor/base/counters.h"
 #include "gooseberrymoor/base/event_log.h"
+#include "gooseberrymoor/mirror/applied_changes.h"
 #include "gooseberrymoor/mirror/mirror_relay.h"
 #include "gooseberrymoor/mirror/mirror_update.h"
 #include "gooseberrymoor/mirror/reader_election.h"
@@ -123,11 +124,11 @@
 asio::awaitable<bool> mirror_follower::readChanges()
 {
     const time_point startedAt = millis_clock::now();
-    const std::int64_t before = m_dependencies.mirror.revision();
     // Only the reader waits for changes; other nodes need the current state immediately.
     const duration maxWait
         = m_dependencies.election.isReader(startedAt) ? m_timing.maxWait : duration(0);
-    const auto read = co_await m_dependencies.store.readChanges(m_prefix, before, maxWait);
+    const auto read = co_await m_dependencies.store.readChanges(
+        m_prefix, m_dependencies.mirror.revision(), maxWait);
     if (!read && read.error().failure == store_failure::history_lost) {
         m_dependencies.log.write("store_history_lost", { { "prefix", m_prefix } });
         m_mustReadAll = true;
@@ -138,8 +139,10 @@
         co_return false;
     }
     onReadSucceeded(startedAt);
-    publish(before,
-            m_dependencies.mirror.onChanges(read->changes, read->revision, millis_clock::now()));
+    // A peer's update may have arrived during the read, and what it brought is not reported again.
+    applied_changes applied
+        = m_dependencies.mirror.onChanges(read->changes, read->revision, millis_clock::now());
+    publish(applied.fromRevision, std::move(applied.changes));
     co_return true;
 }
 
--- a/gooseberrymoor/mirror/store_mirror.cpp
+++ b/gooseberrymoor/mirror/store_mirror.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrymoor/mirror/store_mirror.h"
 
+#include "gooseberrymoor/mirror/applied_changes.h"
 #include "gooseberrymoor/mirror/mirror_listener.h"
 #include "gooseberrymoor/mirror/store_availability.h"
 #include "gooseberrymoor/store/store_entry.h"
@@ -33,26 +34,26 @@
     onTime(now);
 }
 
-std::vector<store_change> store_mirror::onChanges(const std::vector<store_change> &changes,
-                                                  std::int64_t revision, time_point now)
+applied_changes store_mirror::onChanges(const std::vector<store_change> &changes,
+                                        std::int64_t revision, time_point now)
 {
-    std::vector<store_change> significantChanges;
+    applied_changes applied { m_revision, {} };
     for (const store_change &each : changes) {
         if (each.value) {
             const std::string &value = readableValue(*each.value);
             if (putValue(each.key, value, each.modRevision))
-                significantChanges.push_back({ each.key, value, each.modRevision });
+                applied.changes.push_back({ each.key, value, each.modRevision });
             continue;
         }
         const auto found = m_entries.find(each.key);
         if (found != m_entries.end() && found->second.revision < each.modRevision) {
             scheduleRemoval(each.key, now);
-            significantChanges.push_back(each);
+            applied.changes.push_back(each);
         }
     }
     m_revision = std::max(m_revision, revision);
     onTime(now);
-    return significantChanges;
+    return applied;
 }
 
 void store_mirror::onTime(time_point now)
--- a/gooseberrymoor/mirror/store_mirror.h
+++ b/gooseberrymoor/mirror/store_mirror.h
@@ -11,6 +11,7 @@
 namespace gooseberrymoor {
 
 class mirror_listener;
+struct applied_changes;
 class store_availability;
 struct store_read;
 
@@ -35,8 +36,8 @@
     void onFullRead(const store_read &read, time_point now);
 
     // Applies the changes up to `revision`. Returns those that are significant to the listener.
-    std::vector<store_change> onChanges(const std::vector<store_change> &changes,
-                                        std::int64_t revision, time_point now);
+    applied_changes onChanges(const std::vector<store_change> &changes, std::int64_t revision,
+                              time_point now);
 
     // Applies the removals that are due. To be called only while the store serves: otherwise their
     // writers may be unable to write their keys again.
--- a/gooseberrymoor/mirror/store_mirror_test.cpp
+++ b/gooseberrymoor/mirror/store_mirror_test.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrymoor/mirror/store_mirror.h"
 
+#include "gooseberrymoor/mirror/applied_changes.h"
 #include "gooseberrymoor/mirror/mirror_listener.h"
 #include "gooseberrymoor/mirror/store_availability.h"
 #include "gooseberrymoor/store/store_entry.h"
@@ -50,6 +51,23 @@
             CHECK(mirror.revision() == 11);
         }
     }
+    // Guards against nodes that missed a configuration for good: the reader named the revisions
+    // from the start of its read, but left out what a peer's update had brought meanwhile.
+    SUBCASE("reports the changes that a peer's update has not brought during its read")
+    {
+        recording_listener otherListener;
+        store_mirror other(otherListener, availability, reregistration_time);
+        other.onFullRead({ 10, { { "a", "1", 5 }, { "b", "1", 9 } } }, start);
+        mirror.onChanges({ { "a", "2", 11 } }, 11, start); // the peer's update
+        const applied_changes applied
+            = mirror.onChanges({ { "a", "2", 11 }, { "b", "2", 12 } }, 12, start); // the read
+        REQUIRE(applied.changes.size() == 1);
+        CHECK(applied.changes.front().key == "b");
+        SUBCASE("so that a node without that update finds that it lacks something")
+        {
+            CHECK(other.revision() < applied.fromRevision);
+        }
+    }
     SUBCASE("removes a key immediately while the store is healthy")
     {
         mirror.onChanges({ { "a", std::nullopt, 11 } }, 11, start);
--- a/testing/fuzz/decoder_fuzz_test.cpp
+++ b/testing/fuzz/decoder_fuzz_test.cpp
@@ -4,6 +4,7 @@
 #include "gooseberrymoor/fleet/fleet_member_codec.h"
 #include "gooseberrymoor/fleet/heartbeat_codec.h"
 #include "gooseberrymoor/forward/forward_timing.h"
+#include "gooseberrymoor/mirror/applied_changes.h"
 #include "gooseberrymoor/mirror/mirror_listener.h"
 #include "gooseberrymoor/mirror/mirror_update.h"
 #include "gooseberrymoor/mirror/mirror_update_codec.h"
