Base the update after a read of all keys on the copy's revision

Cause: after a read of all keys, the reader named its update from the read's revision to its copy's, with no changes. A peer's update that came during the read had taken the copy further, so a node at the read's revision took the empty update for complete and dropped the peer's when it came. Change: onFullRead returns what the update is based on, as onChanges does, and that is the copy's revision. Test: mirror_test "nor does a read of all keys, which an older copy takes for no change": 13 in place of 14 with the old name.

--- a/gooseberrymoor/mirror/applied_changes.h
+++ b/gooseberrymoor/mirror/applied_changes.h
@@ -7,10 +7,11 @@
 
 namespace gooseberrymoor {
 
-// The changes that a `store_mirror` has applied at once. Value type.
+// The changes that a `store_mirror` has applied at once, as its node reports them to its peers. A
+// copy at `fromRevision` or later that applies them lacks nothing. Value type.
 struct applied_changes
 {
-    std::int64_t fromRevision = 0; // of the copy before; it lacks no change up to this revision
+    std::int64_t fromRevision = 0;
     std::vector<store_change> changes; // after `fromRevision`, only the significant ones
 };
 
--- a/gooseberrymoor/mirror/mirror_follower.cpp
+++ b/gooseberrymoor/mirror/mirror_follower.cpp
@@ -90,14 +90,14 @@
     m_currentAsOf = now;
 }
 
-void mirror_follower::publish(std::int64_t fromRevision, std::vector<store_change> changes)
+void mirror_follower::publish(applied_changes applied)
 {
     const time_point now = millis_clock::now();
     if (!m_dependencies.election.isReader(now))
         return;
-    m_dependencies.relay.publish({ m_prefix, fromRevision, m_dependencies.mirror.revision(),
+    m_dependencies.relay.publish({ m_prefix, applied.fromRevision, m_dependencies.mirror.revision(),
                                    m_dependencies.availability.healthyFor(now),
-                                   std::move(changes) });
+                                   std::move(applied.changes) });
 }
 
 void mirror_follower::stop()
@@ -115,9 +115,9 @@
         co_return false;
     }
     onReadSucceeded(startedAt);
-    m_dependencies.mirror.onFullRead(*read, millis_clock::now());
+    applied_changes applied = m_dependencies.mirror.onFullRead(*read, millis_clock::now());
     m_mustReadAll = false;
-    publish(read->revision, {});
+    publish(std::move(applied));
     co_return true;
 }
 
@@ -142,7 +142,7 @@
     // A peer's update may have arrived during the read, and what it brought is not reported again.
     applied_changes applied
         = m_dependencies.mirror.onChanges(read->changes, read->revision, millis_clock::now());
-    publish(applied.fromRevision, std::move(applied.changes));
+    publish(std::move(applied));
     co_return true;
 }
 
--- a/gooseberrymoor/mirror/mirror_follower.h
+++ b/gooseberrymoor/mirror/mirror_follower.h
@@ -15,6 +15,7 @@
 class mirror_relay;
 class reader_election;
 class store_availability;
+struct applied_changes;
 struct mirror_update;
 struct store_error;
 
@@ -83,7 +84,7 @@
     void onServed(time_point now);
     duration nextRetryDelay();
 
-    void publish(std::int64_t fromRevision, std::vector<store_change> changes);
+    void publish(applied_changes applied);
 
     follower_dependencies m_dependencies;
     std::string m_prefix;
--- a/gooseberrymoor/mirror/store_mirror.cpp
+++ b/gooseberrymoor/mirror/store_mirror.cpp
@@ -16,7 +16,7 @@
 {
 }
 
-void store_mirror::onFullRead(const store_read &read, time_point now)
+applied_changes store_mirror::onFullRead(const store_read &read, time_point now)
 {
     std::set<std::string> present;
     for (const store_entry &each : read.entries) {
@@ -32,6 +32,7 @@
         scheduleRemoval(key, now);
     m_revision = std::max(m_revision, read.revision);
     onTime(now);
+    return { m_revision, {} };
 }
 
 applied_changes store_mirror::onChanges(const std::vector<store_change> &changes,
--- a/gooseberrymoor/mirror/store_mirror.h
+++ b/gooseberrymoor/mirror/store_mirror.h
@@ -32,8 +32,9 @@
     store_mirror(mirror_listener &listener, const store_availability &availability,
                  duration reregistrationTime);
 
-    // Applies a read of all keys, as of `read.revision`.
-    void onFullRead(const store_read &read, time_point now);
+    // Applies a read of all keys, as of `read.revision`. Reports no changes, since what a copy of
+    // an earlier revision lacks is not known.
+    applied_changes onFullRead(const store_read &read, time_point now);
 
     // Applies the changes up to `revision`. Returns those that are significant to the listener.
     applied_changes onChanges(const std::vector<store_change> &changes, std::int64_t revision,
--- a/gooseberrymoor/mirror/store_mirror_test.cpp
+++ b/gooseberrymoor/mirror/store_mirror_test.cpp
@@ -67,6 +67,14 @@
         {
             CHECK(other.revision() < applied.fromRevision);
         }
+        SUBCASE("nor does a read of all keys, which an older copy takes for no change")
+        {
+            mirror.onChanges({ { "b", "3", 14 } }, 14, start); // the peer's next update
+            const applied_changes nothing
+                = mirror.onFullRead({ 13, { { "a", "2", 11 }, { "b", "2", 12 } } }, start);
+            CHECK(nothing.changes.empty());
+            CHECK(nothing.fromRevision == mirror.revision());
+        }
     }
     SUBCASE("removes a key immediately while the store is healthy")
     {
