Simplify what the stop and the availability of the store added

No behaviour changes. latestSendTime takes the target latency, the only part of the route that it used, so that a request in progress needs no copy of its route; the set of requests in progress replaces their count; the quantile of a route's responses is taken in one place; the shortest outage is a constant of its class.

--- a/gooseberrymoor/forward/forward_timing.cpp
+++ b/gooseberrymoor/forward/forward_timing.cpp
@@ -44,11 +44,11 @@
     return std::clamp(typicalLatency, earliest, latest);
 }
 
-time_point latestSendTime(const route &route, duration typicalLatency, duration maxTime,
+time_point latestSendTime(duration targetLatency, duration typicalLatency, duration maxTime,
                           time_point end)
 {
     const duration expected = std::max(
-        min_response_time, typicalLatency > duration(0) ? typicalLatency : route.targetLatency);
+        min_response_time, typicalLatency > duration(0) ? typicalLatency : targetLatency);
     return end - std::min(expected, maxTime) - response_margin;
 }
 
--- a/gooseberrymoor/forward/forward_timing.h
+++ b/gooseberrymoor/forward/forward_timing.h
@@ -18,9 +18,9 @@
 duration hedgeDelay(const route &route, duration typicalLatency);
 
 // Latest time at which a request may be sent to a target so that its response arrives before the
-// process ends at `end`. `typicalLatency` is as above, `maxTime` the time until the request's
-// deadline.
-time_point latestSendTime(const route &route, duration typicalLatency, duration maxTime,
+// process ends at `end`. `typicalLatency` is a high quantile of the recent latencies, or zero if it
+// is unknown; `maxTime` is the time until the request's deadline.
+time_point latestSendTime(duration targetLatency, duration typicalLatency, duration maxTime,
                           time_point end);
 
 // Suggested delay before a refused caller retries: short if the targets were full, longer if no
--- a/gooseberrymoor/forward/forward_timing_test.cpp
+++ b/gooseberrymoor/forward/forward_timing_test.cpp
@@ -50,7 +50,8 @@
     SUBCASE("when the node stops, a request is sent only if its response can arrive before the end")
     {
         const time_point end = arrived + duration(5500);
-        const route slow = routeWith(duration(1000));
+        const duration slow(1000);
+        const duration fast(60);
         CHECK(latestSendTime(slow, duration(2600), duration(5000), end) == end - duration(2700));
         SUBCASE("by the target latency if no response has been measured yet")
         {
@@ -58,7 +59,7 @@
         }
         SUBCASE("with time for a pause of the target")
         {
-            CHECK(latestSendTime(urgent, duration(5), duration(5000), end) == end - duration(400));
+            CHECK(latestSendTime(fast, duration(5), duration(5000), end) == end - duration(400));
         }
         SUBCASE("and no longer than the caller waits")
         {
--- a/gooseberrymoor/forward/forwarder.cpp
+++ b/gooseberrymoor/forward/forwarder.cpp
@@ -22,7 +22,7 @@
 namespace {
 
 constexpr double hedge_quantile = 0.95;
-constexpr double completion_quantile = 0.99;
+constexpr double completion_quantile = 0.99; // by which a response is expected to have come
 constexpr double min_latency_samples = 20; // for a meaningful quantile
 constexpr std::size_t max_logged_calls = 4; // per log line
 constexpr std::size_t max_untrimmed_part_bytes = 4096; // a longer part is reduced on arrival
@@ -32,6 +32,12 @@
     return std::to_string(value.count());
 }
 
+// The `quantile` of `latency`, or zero if there are too few samples.
+duration typicalLatency(const recent_latency &latency, double quantile)
+{
+    return latency.weight() >= min_latency_samples ? latency.quantile(quantile) : duration(0);
+}
+
 // Reduces a part of a sharded response to the records that the response can include.
 void trimPart(http_reply &part, std::size_t maxRecords)
 {
@@ -55,7 +61,6 @@
     }
 
     std::shared_ptr<const caller_request> request;
-    std::shared_ptr<const route> forwardedRoute;
     std::vector<std::string> services;
     time_point deadline;
     std::vector<std::optional<leaf_call_result>> responses; // by shard; successes only
@@ -116,8 +121,6 @@
     active.targetLatency = route->targetLatency;
     active.priority = route->priority;
     active.maxRecords = route->maxRecords;
-    active.forwardedRoute = route;
-    ++m_running;
     m_active.insert(&active);
     updateSendBefore(active);
     bool callerDisconnected = false;
@@ -144,7 +147,6 @@
     }
     if (request->abandoned)
         request->abandoned->setListener({});
-    --m_running;
     m_active.erase(&active);
     forward_result result;
     if (callerDisconnected) {
@@ -187,11 +189,9 @@
 {
     if (m_end == time_point::max())
         return;
-    const duration typicalLatency = active.latency->weight() >= min_latency_samples
-        ? active.latency->quantile(completion_quantile)
-        : duration(0);
-    active.sendBefore = latestSendTime(*active.forwardedRoute, typicalLatency,
-                                       active.deadline - millis_clock::now(), m_end);
+    active.sendBefore
+        = latestSendTime(active.targetLatency, typicalLatency(*active.latency, completion_quantile),
+                         active.deadline - millis_clock::now(), m_end);
     for (auto &[attempt, call] : active.calls)
         call->sendBefore = active.sendBefore;
 }
@@ -218,10 +218,7 @@
     plan.kind = route.kind;
     plan.maxAttempts = std::max(1U, route.maxAttempts);
     plan.minSuccessShare = plan.isSharded ? route.minSuccessShare : 1;
-    const recent_latency &latency = m_latencies[route.name];
-    const bool hasEnoughSamples = latency.weight() >= min_latency_samples;
-    plan.hedgeDelay
-        = hedgeDelay(route, hasEnoughSamples ? latency.quantile(hedge_quantile) : duration(0));
+    plan.hedgeDelay = hedgeDelay(route, typicalLatency(m_latencies[route.name], hedge_quantile));
     plan.softDeadline = softDeadlineFor(route, request.arrived, request.firstOnConnection);
     plan.deadline = request.arrived + std::min(request.timeLeft, route.timeout);
     return plan;
--- a/gooseberrymoor/forward/forwarder.h
+++ b/gooseberrymoor/forward/forwarder.h
@@ -56,7 +56,7 @@
     void setEnd(time_point end);
 
     // Number of requests in progress.
-    std::size_t running() const { return m_running; }
+    std::size_t running() const { return m_active.size(); }
 
     // Latencies of callers' requests and of targets' responses since the start.
     const latency_histogram &requestLatencies() const { return m_requestTimes; }
@@ -81,8 +81,7 @@
     std::map<std::string, recent_latency> m_latencies; // of targets' responses, by route
     latency_histogram m_requestTimes;
     latency_histogram m_targetTimes;
-    std::size_t m_running = 0;
-    std::set<active_request *> m_active;
+    std::set<active_request *> m_active; // the requests in progress
     time_point m_end = time_point::max(); // of the process
 };
 
--- a/gooseberrymoor/mirror/store_availability.h
+++ b/gooseberrymoor/mirror/store_availability.h
@@ -13,6 +13,11 @@
 class store_availability
 {
 public:
+    // The shortest time without any served read that counts as an outage of the store. If the
+    // reader's path fails, another node reads the store well within this time; leases of living
+    // owners expire only after longer outages.
+    static constexpr duration min_outage_duration { 2000 };
+
     // Records that the store has served a read of this node or of a peer. Returns whether an outage
     // of the store has ended thereby: nobody was served for `min_outage_duration` or longer.
     bool onServed(time_point now);
@@ -45,9 +50,4 @@
     std::optional<time_point> m_lastOutage;
 };
 
-// The shortest time without any served read that counts as an outage of the store. If the reader's
-// path fails, another node reads the store well within this time; leases of living owners expire
-// only after longer outages.
-constexpr duration min_outage_duration { 2000 };
-
 } // namespace gooseberrymoor
--- a/testing/platform_stand_in/small_site.cpp
+++ b/testing/platform_stand_in/small_site.cpp
@@ -213,24 +213,33 @@
     runUntil([until] { return millis_clock::now() >= until; });
 }
 
-http_reply small_site::ask(int index, const std::string &method, const std::string &path,
-                           const std::string &attemptId, int deadlineMs)
+void small_site::send(int index, const std::string &method, const std::string &path,
+                      const std::string &attemptId, int deadlineMs,
+                      std::function<void(http_reply)> done)
 {
     http_request request(method, path);
     request.host = "a.example";
     request.headers = { { platform::attempt_id_field, attemptId },
                         { platform::deadline_field, std::to_string(deadlineMs) } };
-    http_reply reply(0, "");
-    bool done = false;
     const endpoint address { m_network + std::to_string(first_node_host + index), caller_port };
     const time_point limit = millis_clock::now() + duration(deadlineMs + 1000);
     asio::co_spawn(m_context, exchangeOnce(address, std::move(request), limit),
-                   [&](std::exception_ptr, tl::expected<http_reply, http_failure> result) {
-                       if (result)
-                           reply = std::move(*result);
-                       done = true;
+                   [done = std::move(done)](std::exception_ptr,
+                                            tl::expected<http_reply, http_failure> result) {
+                       done(result ? std::move(*result) : http_reply(0, ""));
                    });
-    runUntil([&done] { return done; });
+}
+
+http_reply small_site::ask(int index, const std::string &method, const std::string &path,
+                           const std::string &attemptId, int deadlineMs)
+{
+    http_reply reply(0, "");
+    bool isDone = false;
+    send(index, method, path, attemptId, deadlineMs, [&](http_reply received) {
+        reply = std::move(received);
+        isDone = true;
+    });
+    runUntil([&isDone] { return isDone; });
     return reply;
 }
 
--- a/testing/platform_stand_in/small_site.h
+++ b/testing/platform_stand_in/small_site.h
@@ -66,7 +66,12 @@
     bool runUntil(const std::function<bool()> &condition);
     void runFor(duration time);
 
-    // Sends one request to a node over a new connection. The status is 0 if there was no reply.
+    // Sends one request to a node over a new connection and calls `done` with the reply. Its status
+    // is 0 if there was none.
+    void send(int index, const std::string &method, const std::string &path,
+              const std::string &attemptId, int deadlineMs, std::function<void(http_reply)> done);
+
+    // Sends one request and runs until its reply.
     http_reply ask(int index, const std::string &method, const std::string &path,
                    const std::string &attemptId, int deadlineMs = 2000);
 
