Don't take a late copy of a refusal for the answer to a request sent again

Cause: once every target had refused, request_run started over and leaf_pool sent the request again on the connection on which it had been refused. A late copy of the refusal, sent where the next answer is due, bears the id of the attempt, as the answer will, and passed for the answer: not run, while the target ran the request. A third send followed, or a 503.

Why it works: a copy can only come on the connection of its original. The connection keeps the requests that were refused on it as long as they are in progress; such a request takes another idle connection, a new one, or, when no more may be open, this one opened anew. Idempotent requests as well: they would run more often than max_attempts allows.

--- a/gooseberrymoor/forward/leaf_pool.cpp
+++ b/gooseberrymoor/forward/leaf_pool.cpp
@@ -50,8 +50,16 @@
     {
     }
 
+    // Whether the target refused `request` on this connection. A late duplicate of that refusal
+    // looks like the reply to the same request sent again, as both have its attempt id.
+    bool hasRefused(const caller_request &request) const;
+
+    // Records that the target refused `request` on this connection.
+    void addRefused(const std::shared_ptr<const caller_request> &request);
+
     http_connection http;
     signal wake;
+    std::vector<std::weak_ptr<const caller_request>> refused; // expired ones are over
     std::shared_ptr<leaf_call> currentCall;
     std::shared_ptr<leaf_call> assignedCall; // set by `send` while the connection is idle
     time_point closeAt {}; // idle timeout
@@ -60,6 +68,18 @@
     bool isConnected = false;
 };
 
+bool leaf_pool::pooled_connection::hasRefused(const caller_request &request) const
+{
+    return std::any_of(refused.begin(), refused.end(),
+                       [&](const auto &each) { return each.lock().get() == &request; });
+}
+
+void leaf_pool::pooled_connection::addRefused(const std::shared_ptr<const caller_request> &request)
+{
+    std::erase_if(refused, [](const auto &each) { return each.expired(); });
+    refused.push_back(request);
+}
+
 struct leaf_pool::target_connections
 {
     std::shared_ptr<known_replica> target;
@@ -84,21 +104,42 @@
 {
     call->ticket = call->target->health.onSent(millis_clock::now());
     const target_connections_ptr connections = connectionsTo(call->target);
-    if (!connections->idle.empty()) {
-        const auto chosen = connections->idle.back();
-        connections->idle.pop_back();
-        chosen->assignedCall = std::move(call);
-        chosen->wake.notify();
+    if (const auto idle = findIdle(*connections, *call->request)) {
+        assign(*connections, idle, std::move(call));
         return;
     }
     if (connections->open.size() < m_subset.connectionLimit(*call->target)) {
         startConnection(connections, std::move(call));
         return;
     }
+    if (!connections->idle.empty()) {
+        const auto idle = connections->idle.back(); // refused the request; connects anew for it
+        assign(*connections, idle, std::move(call));
+        return;
+    }
     m_events.add("leaf_calls_queued");
     connections->queuedCalls.push_back(std::move(call));
 }
 
+// Returns the most recently used idle connection on which `request` has not been refused; null if
+// there is none.
+leaf_pool::pooled_connection_ptr leaf_pool::findIdle(const target_connections &target,
+                                                     const caller_request &request)
+{
+    const auto found = std::find_if(target.idle.rbegin(), target.idle.rend(),
+                                    [&](const auto &each) { return !each->hasRefused(request); });
+    return found == target.idle.rend() ? nullptr : *found;
+}
+
+// Hands `call` to the idle connection `idle`.
+void leaf_pool::assign(target_connections &target, const pooled_connection_ptr &idle,
+                       std::shared_ptr<leaf_call> call)
+{
+    std::erase(target.idle, idle);
+    idle->assignedCall = std::move(call);
+    idle->wake.notify();
+}
+
 void leaf_pool::cancelQueued(const std::shared_ptr<leaf_call> &call)
 {
     if (!removeQueued(call))
@@ -289,7 +330,7 @@
 }
 
 asio::awaitable<void> leaf_pool::runConnection(target_connections_ptr target,
-                                               std::shared_ptr<pooled_connection> self,
+                                               pooled_connection_ptr self,
                                                std::shared_ptr<leaf_call> call)
 {
     bool usable = true;
@@ -316,8 +357,8 @@
 }
 
 // Waits for the next call for an open connection; null if the connection should be closed.
-asio::awaitable<std::shared_ptr<leaf_call>>
-leaf_pool::nextCall(target_connections_ptr target, std::shared_ptr<pooled_connection> self)
+asio::awaitable<std::shared_ptr<leaf_call>> leaf_pool::nextCall(target_connections_ptr target,
+                                                                pooled_connection_ptr self)
 {
     if (auto queued = takeQueuedCall(*target))
         co_return queued;
@@ -332,7 +373,7 @@
 
 // Performs `call`; returns whether the connection can be reused.
 asio::awaitable<bool> leaf_pool::performCall(target_connections_ptr target,
-                                             std::shared_ptr<pooled_connection> self,
+                                             pooled_connection_ptr self,
                                              std::shared_ptr<leaf_call> call)
 {
     if (!mayBeSent(*call)) {
@@ -362,6 +403,8 @@
     const bool isMismatched = result.isMismatched;
     if (isMismatched)
         m_events.add("leaf_foreign_replies");
+    if (hasNotRun(result.outcome))
+        self->addRefused(call->request);
     const reply_signals signals = result.signals;
     const unsigned status = result.reply.status;
     complete(*call, std::move(result));
@@ -377,13 +420,16 @@
         && acceptsRequests(*call.target);
 }
 
-// Connects, or reconnects if the target has closed the connection.
-asio::awaitable<bool> leaf_pool::ensureConnected(std::shared_ptr<pooled_connection> self,
-                                                 leaf_call &call)
+// Connects, or reconnects if the target has closed the connection or refused the request on it.
+asio::awaitable<bool> leaf_pool::ensureConnected(pooled_connection_ptr self, leaf_call &call)
 {
-    if (self->http.isUsable())
+    const bool wasRefused = self->hasRefused(*call.request);
+    if (self->http.isUsable() && !wasRefused)
         co_return true;
+    if (wasRefused)
+        m_events.add("leaf_reconnects_after_refusal");
     self->http.close();
+    self->refused.clear();
     const time_point limit = std::min(call.deadline, millis_clock::now() + max_connect_time);
     co_return co_await connect(self, *call.target, limit);
 }
@@ -414,8 +460,8 @@
     complete(call, std::move(result));
 }
 
-asio::awaitable<bool> leaf_pool::connect(std::shared_ptr<pooled_connection> self,
-                                         known_replica &target, time_point deadline)
+asio::awaitable<bool> leaf_pool::connect(pooled_connection_ptr self, known_replica &target,
+                                         time_point deadline)
 {
     m_events.add("leaf_connections_opened");
     const auto connected = co_await self->http.connect(target.entry.address, deadline);
--- a/gooseberrymoor/forward/leaf_pool.h
+++ b/gooseberrymoor/forward/leaf_pool.h
@@ -22,6 +22,7 @@
 class leaf_protocol;
 class replica_set;
 class replica_subset;
+struct caller_request;
 struct http_failure;
 
 // Dependencies of the `leaf_pool`. All must outlive the executor's last task.
@@ -76,23 +77,26 @@
     struct pooled_connection;
 
     using target_connections_ptr = std::shared_ptr<target_connections>;
+    using pooled_connection_ptr = std::shared_ptr<pooled_connection>;
 
     target_connections_ptr connectionsTo(const std::shared_ptr<known_replica> &target);
     static bool isConnected(const target_connections &target);
     void startConnection(const target_connections_ptr &target,
                          std::shared_ptr<leaf_call> firstCall);
-    asio::awaitable<void> runConnection(target_connections_ptr target,
-                                        std::shared_ptr<pooled_connection> self,
+    asio::awaitable<void> runConnection(target_connections_ptr target, pooled_connection_ptr self,
                                         std::shared_ptr<leaf_call> call);
     asio::awaitable<std::shared_ptr<leaf_call>> nextCall(target_connections_ptr target,
-                                                         std::shared_ptr<pooled_connection> self);
-    asio::awaitable<bool> performCall(target_connections_ptr target,
-                                      std::shared_ptr<pooled_connection> self,
+                                                         pooled_connection_ptr self);
+    asio::awaitable<bool> performCall(target_connections_ptr target, pooled_connection_ptr self,
                                       std::shared_ptr<leaf_call> call);
-    asio::awaitable<bool> connect(std::shared_ptr<pooled_connection> self, known_replica &target,
+    asio::awaitable<bool> connect(pooled_connection_ptr self, known_replica &target,
                                   time_point deadline);
+    static pooled_connection_ptr findIdle(const target_connections &target,
+                                          const caller_request &request);
+    static void assign(target_connections &target, const pooled_connection_ptr &idle,
+                       std::shared_ptr<leaf_call> call);
     std::shared_ptr<leaf_call> takeQueuedCall(target_connections &target);
-    asio::awaitable<bool> ensureConnected(std::shared_ptr<pooled_connection> self, leaf_call &call);
+    asio::awaitable<bool> ensureConnected(pooled_connection_ptr self, leaf_call &call);
     void closeIdle(target_connections &target, time_point since);
     void closeRemovedTargets();
     void failQueuedCalls(target_connections &target);
--- a/gooseberrymoor/forward/leaf_pool_test.cpp
+++ b/gooseberrymoor/forward/leaf_pool_test.cpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrymoor/base/counters.h"
 #include "gooseberrymoor/base/task.h"
+#include "gooseberrymoor/base/timer.h"
 #include "gooseberrymoor/forward/caller_request.h"
 #include "gooseberrymoor/forward/leaf_completion_queue.h"
 #include "gooseberrymoor/forward/leaf_protocol.h"
@@ -27,6 +28,8 @@
 constexpr duration max_wait_time { 10'000 };
 constexpr duration backoff_time { 300 };
 const std::string good_reply = "HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 4\r\n\r\nbody";
+const std::string refusal
+    = "HTTP/1.1 503 Busy\r\nId: a1\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n";
 
 // Sends the attempt id in the header field "Id", and expects it in the reply.
 class echo_protocol : public leaf_protocol
@@ -43,7 +46,9 @@
         leaf_call_result result;
         result.isMismatched = headerValue(reply.headers, "Id") != attemptId;
         if (!result.isMismatched)
-            result.outcome = attempt_outcome::answered;
+            result.outcome = headerValue(reply.headers, "Refused").empty()
+                ? attempt_outcome::answered
+                : attempt_outcome::refused;
         result.signals.isLeaving = !headerValue(reply.headers, "Leaving").empty();
         if (!headerValue(reply.headers, "Pause").empty())
             result.signals.retryAfter = backoff_time;
@@ -58,6 +63,8 @@
     std::string bytes;
     bool close = false; // close the connection after the bytes
     bool reset = false; // reset the connection after the bytes
+    std::string lateBytes {}; // sent before the reply to the next request on the connection
+    duration delay { 0 };
 };
 
 // A target that answers the n-th request over all its connections with the n-th reply.
@@ -91,6 +98,7 @@
     asio::awaitable<void> performCall(tcp::socket socket)
     {
         std::string received;
+        std::string lateBytes;
         while (true) {
             const auto [error, size] = co_await asio::async_read_until(
                 socket, asio::dynamic_buffer(received), "\r\n\r\n", as_result);
@@ -102,7 +110,11 @@
                 continue; // does not respond
             const scripted_reply reply = replies.front();
             replies.pop_front();
-            co_await asio::async_write(socket, asio::buffer(reply.bytes), as_result);
+            timer work(socket.get_executor(), millis_clock::now() + reply.delay);
+            co_await work.async_wait(as_result);
+            const std::string bytes = lateBytes + reply.bytes;
+            lateBytes = reply.lateBytes;
+            co_await asio::async_write(socket, asio::buffer(bytes), as_result);
             boost::system::error_code ignored;
             if (reply.reset)
                 socket.set_option(asio::socket_base::linger(true, 0), ignored);
@@ -133,8 +145,14 @@
         request->method = "GET";
         request->target = "/";
         request->attemptId = attemptId;
+        return send(request, time);
+    }
+
+    std::shared_ptr<leaf_call> send(std::shared_ptr<const caller_request> request,
+                                    duration time = duration(5000))
+    {
         auto call = std::make_shared<leaf_call>();
-        call->request = request;
+        call->request = std::move(request);
         call->target = known;
         call->completionQueue = completionQueue;
         call->attempt = ++lastAttempt;
@@ -149,6 +167,7 @@
         while (completionQueue->completions.empty() && millis_clock::now() < limit)
             context.run_one_for(duration(20));
         REQUIRE(!completionQueue->completions.empty());
+        endedAttempt = completionQueue->completions.front().attempt;
         leaf_call_result result = std::move(completionQueue->completions.front().result);
         completionQueue->completions.pop_front();
         context.run_for(duration(20)); // let the connection become idle or close
@@ -167,6 +186,7 @@
     std::shared_ptr<leaf_completion_queue> completionQueue
         = std::make_shared<leaf_completion_queue>(context.get_executor());
     std::uint64_t lastAttempt = 0;
+    std::uint64_t endedAttempt = 0; // whose result `next` returned last
 };
 
 } // namespace
@@ -343,6 +363,81 @@
     }
 }
 
+// Guards against a late copy of a refusal being taken for the answer when the request is sent
+// again: a request that ran would count as not run.
+TEST_CASE("A target repeats a refusal late, and the refused request is sent to it again")
+{
+    fixture env;
+    const scripted_reply repeatedRefusal { refusal, false, false, refusal };
+
+    SUBCASE("at once, and the copy is not taken for the answer")
+    {
+        env.target.replies = { repeatedRefusal, { good_reply } };
+        const auto first = env.send("a1");
+        CHECK(env.next().outcome == attempt_outcome::refused);
+        env.send(first->request);
+        CHECK(env.next().outcome == attempt_outcome::answered);
+        CHECK(env.target.connections == 2);
+    }
+    SUBCASE("after another request, nor is then")
+    {
+        env.target.replies = { { refusal } };
+        const auto first = env.send("a1");
+        CHECK(env.next().outcome == attempt_outcome::refused);
+        env.target.replies = { { good_reply, false, false, refusal } };
+        env.send("a1");
+        CHECK(env.next().outcome == attempt_outcome::answered);
+        CHECK(env.target.connections == 1);
+        env.target.replies = { { good_reply } };
+        env.send(first->request);
+        CHECK(env.next().outcome == attempt_outcome::answered);
+        CHECK(env.target.connections == 2);
+    }
+    SUBCASE("while another connection is idle, which is used")
+    {
+        env.target.replies = { { refusal }, { good_reply } };
+        const auto first = env.send("a1");
+        const auto second = env.send("a1");
+        const bool isFirstRefused = env.next().outcome == attempt_outcome::refused
+            ? env.endedAttempt == first->attempt
+            : env.endedAttempt != first->attempt;
+        env.next();
+        env.target.replies = { { good_reply } };
+        env.send(isFirstRefused ? first->request : second->request);
+        CHECK(env.next().outcome == attempt_outcome::answered);
+        CHECK(env.target.connections == 2);
+    }
+    SUBCASE("on each connection that may be open, and one is opened anew")
+    {
+        env.target.replies = { repeatedRefusal, repeatedRefusal, { good_reply } };
+        const auto first = env.send("a1");
+        CHECK(env.next().outcome == attempt_outcome::refused);
+        env.send(first->request);
+        CHECK(env.next().outcome == attempt_outcome::refused);
+        env.send(first->request);
+        CHECK(env.next().outcome == attempt_outcome::answered);
+        CHECK(env.target.connections == 3);
+        CHECK(env.pool.openConnections() == 2);
+    }
+    SUBCASE("from the queue for the connection that refused it, which is opened anew")
+    {
+        env.target.replies = { { refusal },
+                               { good_reply, false, false, refusal, duration(50) },
+                               { good_reply, false, false, {}, duration(1000) },
+                               { good_reply } };
+        const auto first = env.send("a1");
+        CHECK(env.next().outcome == attempt_outcome::refused);
+        env.send("a1");
+        env.send("a1");
+        env.send(first->request);
+        CHECK(env.events.value("leaf_calls_queued") == 1);
+        CHECK(env.next().outcome == attempt_outcome::answered);
+        CHECK(env.next().outcome == attempt_outcome::answered);
+        CHECK(env.endedAttempt == 4);
+        CHECK(env.target.connections == 3);
+    }
+}
+
 TEST_CASE("A target asks in its replies for no more requests")
 {
     fixture env;
