Withhold a target's failure that promises that a request has not run

Cause: http_leaf_protocol counts a 503 without Gooseberrymoor-Not-Executed as a failure that may have run, but forwarder passed the last failure on unchanged, whatever its status promises to the caller.

Failures that promise nothing, and those of idempotent requests, are passed on as before. `attempt_failed` now has the status, and `failure_withheld` tells of these.

--- a/gooseberrymoor/forward/forwarder.cpp
+++ b/gooseberrymoor/forward/forwarder.cpp
@@ -32,6 +32,15 @@
     return std::to_string(value.count());
 }
 
+// The status of the target's reply; empty if the attempt ended without a valid one.
+std::string statusText(const leaf_call_result &result)
+{
+    const bool hasReply = result.outcome == attempt_outcome::failed
+        || result.outcome == attempt_outcome::refused
+        || result.outcome == attempt_outcome::misdirected;
+    return hasReply ? std::to_string(result.reply.status) : std::string();
+}
+
 // The `quantile` of `latency`, or zero if there are too few samples.
 duration typicalLatency(const recent_latency &latency, double quantile)
 {
@@ -271,7 +280,8 @@
                                      { { "request", active.request->attemptId },
                                        { "service", active.services[completion.shard] },
                                        { "target", completion.target },
-                                       { "ending", std::string(nameOf(outcome)) } });
+                                       { "ending", std::string(nameOf(outcome)) },
+                                       { "status", statusText(completion.result) } });
             if (outcome == attempt_outcome::failed)
                 active.lastFailure = std::move(completion.result);
         }
@@ -323,7 +333,7 @@
         result.status = forward_status::refused;
         return result;
     }
-    if (!isSharded && active.lastFailure && !active.run.hasOutstanding()) {
+    if (!isSharded && !active.run.hasOutstanding() && mayPassOnFailure(active, route)) {
         result.reply = std::move(active.lastFailure->reply);
         result.status = forward_status::passed_through;
         return result;
@@ -333,6 +343,22 @@
     return result;
 }
 
+// Whether the caller may get the last failure of a target unchanged. If it promises that the
+// request has not run, a caller would send a request again that must not run twice.
+bool forwarder::mayPassOnFailure(const active_request &active, const route &route)
+{
+    if (!active.lastFailure)
+        return false;
+    if (route.kind == request_kind::idempotent || !active.lastFailure->promisesNotRun)
+        return true;
+    m_dependencies.events.add("forward_failures_withheld");
+    m_dependencies.log.write("failure_withheld",
+                             { { "request", active.request->attemptId },
+                               { "service", active.services.front() },
+                               { "status", std::to_string(active.lastFailure->reply.status) } });
+    return false;
+}
+
 void forwarder::logOutcome(const active_request &active, const forward_result &result)
 {
     m_dependencies.events.add("forward_" + std::string(nameOf(result.status)));
--- a/gooseberrymoor/forward/forwarder.h
+++ b/gooseberrymoor/forward/forwarder.h
@@ -73,6 +73,7 @@
     void processCompletions(active_request &active);
     void recordAnswer(active_request &active, leaf_completion completion);
     forward_result buildResult(active_request &active, const route &route);
+    bool mayPassOnFailure(const active_request &active, const route &route);
     void logOutcome(const active_request &active, const forward_result &result);
 
     asio::any_io_executor m_executor;
--- a/gooseberrymoor/forward/leaf_call_result.h
+++ b/gooseberrymoor/forward/leaf_call_result.h
@@ -19,6 +19,8 @@
     reply_signals signals;
     http_reply reply; // as sent by the target
     bool isMismatched = false; // the reply names the attempt of another request
+    // Callers take the reply's status for a promise that the request has not run and never will.
+    bool promisesNotRun = false;
 };
 
 } // namespace gooseberrymoor
--- a/testing/platform_stand_in/leaf_stand_in.cpp
+++ b/testing/platform_stand_in/leaf_stand_in.cpp
@@ -46,7 +46,7 @@
     --m_running;
     if (m_faultMode == leaf_fault_mode::lost_reply)
         throw std::runtime_error("reply lost"); // makes the server close the connection
-    http_reply reply(m_faultMode == leaf_fault_mode::failing ? 500 : 200, m_body);
+    http_reply reply(m_faultMode == leaf_fault_mode::failing ? m_failureStatus : 200, m_body);
     reply.headers.emplace_back(platform::attempt_id_field, attempt);
     reply.headers.emplace_back(platform::signature_field, m_id + "." + attempt);
     reply.headers.emplace_back(platform::load_field, "1,0," + std::to_string(slots));
--- a/testing/platform_stand_in/leaf_stand_in.h
+++ b/testing/platform_stand_in/leaf_stand_in.h
@@ -13,7 +13,7 @@
 enum class leaf_fault_mode {
     no_fault,
     full, // refuses requests without running them
-    failing, // runs requests and answers with status 500
+    failing, // runs requests and answers with the failure status
     lost_reply, // runs requests and closes the connection without an answer
 };
 
@@ -32,6 +32,9 @@
     void setFaultMode(leaf_fault_mode mode) { m_faultMode = mode; }
     void setLatency(duration latency) { m_latency = latency; }
 
+    // The status of the answers in `leaf_fault_mode::failing`.
+    void setFailureStatus(unsigned status) { m_failureStatus = status; }
+
     // Makes all answers say that the target is leaving; its entry in the store stays as it is.
     void setLeaving(bool leaving) { m_leaving = leaving; }
 
@@ -74,6 +77,7 @@
     std::string m_zone;
     std::string m_body;
     leaf_fault_mode m_faultMode = leaf_fault_mode::no_fault;
+    unsigned m_failureStatus = 500;
     duration m_latency { 1 };
     std::map<std::string, int> m_runsById;
     int m_runs = 0;
