Take a reply whose status HTTP doesn't have for no reply

Callers got a target's reply with the status 600 or 999 as an answer, signed.

Cause: http_connection took each status below 200 for an interim reply, which has no body, and each other one for a final reply.

The new tests failed for 000, 001, 099, 600, 999 and 101 (18 checks).

Why it works: where such a message ends can't be told, so the exchange fails as one that may have run, and the connection closes. 101 too: no request asks for a switch of protocols. Other interim replies are skipped as before.

--- a/gooseberrymoor/forward/leaf_pool_test.cpp
+++ b/gooseberrymoor/forward/leaf_pool_test.cpp
@@ -304,6 +304,30 @@
         env.send("a1");
         CHECK(env.next().outcome == attempt_outcome::lost);
     }
+    // Guards against a reply with the status 000 or 600 reaching the caller as an answer, and
+    // against bytes after the head of one with 000 being read as the answer.
+    SUBCASE("are not answered with a reply whose status is no status of HTTP")
+    {
+        for (const std::string status : { "000", "001", "099", "600", "999" }) {
+            const std::string head = "HTTP/1.1 " + status + " X\r\nId: a1\r\n";
+            const std::string length
+                = "Content-Length: " + std::to_string(good_reply.size()) + "\r\n\r\n";
+            for (const std::string &rest :
+                 { std::string("Content-Length: 0\r\n\r\n"), length + good_reply }) {
+                CAPTURE(head + rest);
+                env.target.replies = { { head + rest } };
+                env.send("a1");
+                CHECK(env.next().outcome == attempt_outcome::lost);
+                CHECK(env.pool.openConnections() == 0);
+            }
+        }
+    }
+    SUBCASE("are not answered with what follows a switch to another protocol")
+    {
+        env.target.replies = { { "HTTP/1.1 101 X\r\nUpgrade: y\r\n\r\n" + good_reply } };
+        env.send("a1");
+        CHECK(env.next().outcome == attempt_outcome::lost);
+    }
     SUBCASE("are not answered with a duplicate reply to another request")
     {
         env.target.replies = { { good_reply + good_reply }, { good_reply } };
--- a/gooseberrymoor/http/http_connection.cpp
+++ b/gooseberrymoor/http/http_connection.cpp
@@ -25,7 +25,10 @@
 // Bytes received and not parsed yet. Bounds what no other limit does, such as a chunk's extensions.
 constexpr std::size_t max_buffered_bytes = 32ULL * 1024;
 constexpr unsigned max_interim_replies = 8; // before the final reply
+constexpr unsigned first_status = 100;
 constexpr unsigned first_final_status = 200;
+constexpr unsigned last_status = 599;
+constexpr unsigned status_switching_protocols = 101;
 constexpr unsigned http_version_1_1 = 11;
 // TCP closes a connection whose sent data stays unacknowledged for this long.
 constexpr int tcp_user_timeout_ms = 3000;
@@ -44,6 +47,13 @@
     return { verdict::may_have_run, false, std::move(reason), true };
 }
 
+// Whether a reply may have `status`. A reply with another one is malformed, and where it ends can't
+// be told. No request asks for a switch of protocols.
+bool isValidStatus(unsigned status)
+{
+    return status >= first_status && status <= last_status && status != status_switching_protocols;
+}
+
 // Returns the timeout in a Keep-Alive header such as "timeout=5, max=100"; 0 if it has none.
 int parseKeepAliveTimeout(std::string_view keepAlive)
 {
@@ -181,7 +191,11 @@
         if (headerError)
             co_return tl::unexpected(
                 makeFailure(verdict::may_have_run, limit.hasPassed(), headerError));
-        if (parser.get().result_int() < first_final_status)
+        const unsigned status = parser.get().result_int();
+        if (!isValidStatus(status))
+            co_return tl::unexpected(http_failure { verdict::may_have_run, false,
+                                                    "invalid status " + std::to_string(status) });
+        if (status < first_final_status)
             continue;
         const auto reservation
             = std::make_shared<byte_reservation>(limits.bodyBudget, limits.freeBodyBytes);
--- a/gooseberrymoor/http/http_connection.h
+++ b/gooseberrymoor/http/http_connection.h
@@ -29,7 +29,8 @@
     asio::awaitable<tl::expected<void, http_failure>> connect(endpoint server, time_point deadline);
 
     // Sends `request` and reads the reply; interim replies (1xx) are skipped. Closes the connection
-    // if sending or reading fails, or if the reply exceeds a limit.
+    // if sending or reading fails, or if the reply exceeds a limit or its status is not one of
+    // HTTP.
     asio::awaitable<tl::expected<http_reply, http_failure>> exchange(http_request request,
                                                                      time_point deadline);
 
