Follow a store that comes back from an older copy of its data

Nodes also went on renewing leases whose ids may be another node's.

Cause: store_mirror compared revisions over the store's return, and nothing read the header Store-Era.

What is there now: platform_store decodes the era of each answer, failures too; store_era_tracker knows the newest; what is of an older one is dropped, whenever it comes, from the store or from a peer. Revisions are compared within an era only. A lease of an older era is dropped, and the node's key published again, spread by the size of the fleet. Updates of the build before have no era: they count while there has been one era only. A store without the header has one era for good.

--- a/gooseberrymoor/configuration/configuration_writer.cpp
+++ b/gooseberrymoor/configuration/configuration_writer.cpp
@@ -81,7 +81,7 @@
     const std::string text = encodeChangeRecord(record);
     const std::string operationKey = m_keys.operation(record.operation);
     auto transaction
-        = changeTransaction(m_keys, baseRevision, std::move(change), operationKey, text, *lease);
+        = changeTransaction(m_keys, baseRevision, std::move(change), operationKey, text, lease->id);
     const auto result = co_await m_store.transact(std::move(transaction));
     if (result && result->succeeded)
         co_return change_result { change_state::accepted, result->revision, "" };
@@ -89,7 +89,7 @@
         co_return co_await reportConflict(baseRevision);
     if (result.error().outcome == verdict::not_run)
         co_return notAccepted(baseRevision, result.error().detail);
-    auto resolved = co_await resolveOutcome(operationKey, text, *lease);
+    auto resolved = co_await resolveOutcome(operationKey, text, lease->id);
     if (resolved.state == change_state::not_accepted)
         resolved.revision = baseRevision;
     co_return resolved;
--- a/gooseberrymoor/configuration/configuration_writer_test.cpp
+++ b/gooseberrymoor/configuration/configuration_writer_test.cpp
@@ -100,8 +100,7 @@
         co_return tl::unexpected(timeoutError());
     }
 
-    asio::awaitable<tl::expected<std::int64_t, store_error>>
-    grantLease(duration timeToLive) override
+    asio::awaitable<tl::expected<store_lease, store_error>> grantLease(duration timeToLive) override
     {
         const call_plan plan = nextPlan();
         co_await pause(duration(plan.delayMs));
@@ -109,7 +108,7 @@
             co_return tl::unexpected(timeoutError());
         const std::int64_t lease = ++m_lastLease;
         m_leases[lease] = millis_clock::now() + timeToLive;
-        co_return lease;
+        co_return store_lease { lease };
     }
 
     std::vector<accepted_change> history;
--- a/gooseberrymoor/fleet/fleet_view.cpp
+++ b/gooseberrymoor/fleet/fleet_view.cpp
@@ -50,6 +50,16 @@
         found->second.isKeyRemoved = true;
 }
 
+// The starts of a node have no order, but within one of them it only ever begins to leave.
+value_order fleet_view::orderOf(const std::string &value, const std::string &known) const
+{
+    const auto member = decodeFleetMember(value);
+    const auto knownMember = decodeFleetMember(known);
+    if (!member || !knownMember || member->incarnation != knownMember->incarnation)
+        return value_order::unknown;
+    return knownMember->leaving && !member->leaving ? value_order::older : value_order::not_older;
+}
+
 void fleet_view::onTime(time_point now)
 {
     for (auto each = m_others.begin(); each != m_others.end();) {
--- a/gooseberrymoor/fleet/fleet_view.h
+++ b/gooseberrymoor/fleet/fleet_view.h
@@ -27,6 +27,7 @@
 
     void onValue(const std::string &key, const std::string &value, std::int64_t revision) override;
     void onRemoved(const std::string &key) override;
+    value_order orderOf(const std::string &value, const std::string &known) const override;
 
     // Marks this node as leaving: `callerAddresses` no longer contains it.
     void setLeaving() { m_own.leaving = true; }
--- a/gooseberrymoor/mirror/applied_changes.h
+++ b/gooseberrymoor/mirror/applied_changes.h
@@ -13,6 +13,8 @@
 {
     std::int64_t fromRevision = 0;
     std::vector<store_change> changes; // after `fromRevision`, only the significant ones
+    // The copy has started a new era, and `changes` are all keys that the store has.
+    bool isSnapshot = false;
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/mirror/mirror_follower.cpp
+++ b/gooseberrymoor/mirror/mirror_follower.cpp
@@ -8,6 +8,7 @@
 #include "gooseberrymoor/mirror/reader_election.h"
 #include "gooseberrymoor/mirror/store_availability.h"
 #include "gooseberrymoor/store/key_value_store.h"
+#include "gooseberrymoor/store/store_era_tracker.h"
 
 #include <algorithm>
 
@@ -23,6 +24,20 @@
 // Retry delay while the store is lost, for a node that has a copy to serve from and is not a
 // prober; the probers call the store more often.
 constexpr duration non_prober_retry_delay { 3000 };
+// After the start of an era, the time in which the reader's snapshot mostly arrives, and the time
+// over which nodes without it spread their own reads.
+constexpr duration snapshot_wait { 1200 };
+constexpr duration snapshot_read_spread { 1000 };
+constexpr std::size_t max_snapshot_bytes = 2 * 1024 * 1024; // a larger one is not sent to peers
+
+// The bytes of the keys and values of `update`.
+std::size_t sizeOf(const mirror_update &update)
+{
+    std::size_t size = 0;
+    for (const store_change &each : update.changes)
+        size += each.key.size() + (each.value ? each.value->size() : 0);
+    return size;
+}
 
 } // namespace
 
@@ -41,22 +56,57 @@
             co_await sleepFor(reader_check_interval);
             continue;
         }
-        const bool succeeded = m_mustReadAll ? co_await readAll() : co_await readChanges();
+        const bool mustReadAll = m_mustReadAll || isOfEarlierEra();
+        const bool succeeded = mustReadAll ? co_await readAll() : co_await readChanges();
         co_await sleepFor(succeeded ? m_timing.pollInterval : nextRetryDelay());
     }
 }
 
-bool mirror_follower::shouldReadStore(time_point now) const
+bool mirror_follower::shouldReadStore(time_point now)
 {
     if (m_dependencies.election.isStoreLost())
         return m_timing.probesLostStore;
+    if (!m_mustReadAll && isOfEarlierEra())
+        return m_dependencies.election.isReader(now) || now >= timeToReadEra(now);
     return m_mustReadAll || m_hasMissedUpdate || m_dependencies.election.isReader(now)
         || !isCurrent(now);
 }
 
+// Whether the store has begun a new era since the mirror was read.
+bool mirror_follower::isOfEarlierEra() const
+{
+    return revision() != 0 && era() < m_dependencies.era.current();
+}
+
+// Records the era of an answer; returns whether it must not be believed.
+bool mirror_follower::isAnswerOfEarlierEra(std::optional<store_era> era)
+{
+    if (!era || m_dependencies.era.onSeen(*era) != era_order::older)
+        return false;
+    m_dependencies.events.add("store_answers_of_earlier_era");
+    return true;
+}
+
+void mirror_follower::onEraChange()
+{
+    m_wake.notify();
+}
+
+// Returns when to read the keys of a new era if no peer has sent them.
+time_point mirror_follower::timeToReadEra(time_point now)
+{
+    if (m_awaitedEra != m_dependencies.era.current()) {
+        m_awaitedEra = m_dependencies.era.current();
+        std::uniform_int_distribution<duration::rep> spread(0, snapshot_read_spread.count());
+        m_readEraAt = now + snapshot_wait + duration(spread(m_random));
+    }
+    return m_readEraAt;
+}
+
 bool mirror_follower::isCurrent(time_point now) const
 {
-    return now - m_currentAsOf
+    return !isOfEarlierEra()
+        && now - m_currentAsOf
         <= m_timing.pollInterval + m_timing.maxWait + m_timing.readerGracePeriod;
 }
 
@@ -65,6 +115,8 @@
 {
     const time_point until = millis_clock::now() + time;
     while (!m_stopped && millis_clock::now() < until) {
+        if (isOfEarlierEra() && m_dependencies.election.isReader(millis_clock::now()))
+            co_return;
         const time_point next = std::max(m_dependencies.mirror.nextTimedChange(),
                                          millis_clock::now() + removal_check_interval);
         co_await m_wake.wait(std::min(until, next));
@@ -77,10 +129,20 @@
 {
     const time_point now = millis_clock::now();
     store_mirror &mirror = m_dependencies.mirror;
+    if (m_dependencies.era.onSeen(update.era) == era_order::older) {
+        m_dependencies.events.add("mirror_updates_of_earlier_era");
+        return;
+    }
     onServed(now);
     m_dependencies.availability.onOutageReported(now - update.storeHealthyFor);
     if (mirror.revision() == 0)
         return;
+    if (update.isSnapshot) {
+        applySnapshot(update);
+        return;
+    }
+    if (isOfEarlierEra())
+        return; // its changes mean nothing without the keys at the start of the era
     if (mirror.revision() < update.fromRevision) {
         m_dependencies.events.add("mirror_updates_missed");
         m_hasMissedUpdate = true;
@@ -90,14 +152,32 @@
     m_currentAsOf = now;
 }
 
+void mirror_follower::applySnapshot(const mirror_update &update)
+{
+    store_read read { update.toRevision, {}, m_dependencies.era.current() };
+    for (const store_change &each : update.changes) {
+        if (each.value)
+            read.entries.push_back({ each.key, *each.value, each.modRevision });
+    }
+    m_dependencies.mirror.onFullRead(read, millis_clock::now());
+    m_currentAsOf = millis_clock::now();
+    m_hasMissedUpdate = false;
+    m_dependencies.events.add("mirror_snapshots_received");
+}
+
 void mirror_follower::publish(applied_changes applied)
 {
     const time_point now = millis_clock::now();
     if (!m_dependencies.election.isReader(now))
         return;
-    m_dependencies.relay.publish({ m_prefix, applied.fromRevision, m_dependencies.mirror.revision(),
-                                   m_dependencies.availability.healthyFor(now),
-                                   std::move(applied.changes) });
+    mirror_update update { m_prefix, applied.fromRevision, m_dependencies.mirror.revision(),
+                           m_dependencies.availability.healthyFor(now),
+                           std::move(applied.changes) };
+    update.era = era();
+    update.isSnapshot = applied.isSnapshot;
+    if (update.isSnapshot && sizeOf(update) > max_snapshot_bytes)
+        return; // each peer reads the store itself
+    m_dependencies.relay.publish(update);
 }
 
 void mirror_follower::stop()
@@ -110,10 +190,13 @@
 {
     const time_point startedAt = millis_clock::now();
     const auto read = co_await m_dependencies.store.readPrefix(m_prefix);
+    const bool isFromEarlierEra = isAnswerOfEarlierEra(read ? read->era : read.error().era);
     if (!read) {
         onReadFailed(read.error());
         co_return false;
     }
+    if (isFromEarlierEra)
+        co_return true;
     onReadSucceeded(startedAt);
     applied_changes applied = m_dependencies.mirror.onFullRead(*read, millis_clock::now());
     m_mustReadAll = false;
@@ -127,8 +210,14 @@
     // Only the reader waits for changes; other nodes need the current state immediately.
     const duration maxWait
         = m_dependencies.election.isReader(startedAt) ? m_timing.maxWait : duration(0);
+    const store_era askedEra = era();
     const auto read = co_await m_dependencies.store.readChanges(
         m_prefix, m_dependencies.mirror.revision(), maxWait);
+    const bool isFromEarlierEra = isAnswerOfEarlierEra(read ? read->era : read.error().era);
+    if ((read && isFromEarlierEra) || era() != askedEra)
+        co_return true; // the revision that was asked for means nothing in the mirror's era
+    if (isOfEarlierEra())
+        co_return m_dependencies.election.isReader(startedAt) ? co_await readAll() : true;
     if (!read && read.error().failure == store_failure::history_lost) {
         m_dependencies.log.write("store_history_lost", { { "prefix", m_prefix } });
         m_mustReadAll = true;
--- a/gooseberrymoor/mirror/mirror_follower.h
+++ b/gooseberrymoor/mirror/mirror_follower.h
@@ -15,6 +15,7 @@
 class mirror_relay;
 class reader_election;
 class store_availability;
+class store_era_tracker;
 struct applied_changes;
 struct mirror_update;
 struct store_error;
@@ -37,6 +38,7 @@
     key_value_store &store;
     store_mirror &mirror;
     store_availability &availability; // shared by all followers of the node
+    store_era_tracker &era; // shared by all that call the store on this node
     mirror_relay &relay;
     reader_election &election;
     event_log &log;
@@ -47,7 +49,9 @@
 // changes, and all keys again if the store no longer has the history of changes. After the first
 // read only the fleet's reader calls the store. The other nodes apply the updates that the reader
 // sends, and read the store themselves if updates fail to arrive or start after the revision of the
-// mirror. Not thread-safe.
+// mirror. When the store begins a new era, the reader reads all keys and sends them to its peers;
+// the others read them themselves only if that doesn't arrive, each after another delay. Answers
+// and updates of an earlier era are dropped. Not thread-safe.
 class mirror_follower
 {
 public:
@@ -63,10 +67,14 @@
     // Applies an update from a peer that has read the store.
     void onUpdate(const mirror_update &update);
 
+    // To be called when this node has learned of a new era, so that its reader reads the store now.
+    void onEraChange();
+
     const std::string &prefix() const { return m_prefix; }
 
-    // The store revision of the mirror; 0 before the first read.
+    // The store revision of the mirror in its era; 0 before the first read.
     std::int64_t revision() const { return m_dependencies.mirror.revision(); }
+    store_era era() const { return m_dependencies.mirror.era(); }
 
     // Upper bound of the age of the mirror's contents.
     duration age(time_point now) const { return now - m_currentAsOf; }
@@ -75,7 +83,10 @@
     bool isCurrent(time_point now) const;
 
 private:
-    bool shouldReadStore(time_point now) const;
+    bool shouldReadStore(time_point now);
+    time_point timeToReadEra(time_point now);
+    bool isOfEarlierEra() const;
+    bool isAnswerOfEarlierEra(std::optional<store_era> era);
     asio::awaitable<void> sleepFor(duration time);
     asio::awaitable<bool> readAll();
     asio::awaitable<bool> readChanges();
@@ -85,6 +96,7 @@
     duration nextRetryDelay();
 
     void publish(applied_changes applied);
+    void applySnapshot(const mirror_update &update);
 
     follower_dependencies m_dependencies;
     std::string m_prefix;
@@ -96,6 +108,8 @@
     bool m_isStoreReachable = false;
     bool m_mustReadAll = true;
     bool m_hasMissedUpdate = false; // an update started after the mirror's revision
+    store_era m_awaitedEra = store_era::first; // whose keys a peer is expected to send
+    time_point m_readEraAt {}; // when to read them if it has not
     bool m_stopped = false;
 };
 
--- a/gooseberrymoor/mirror/mirror_listener.h
+++ b/gooseberrymoor/mirror/mirror_listener.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "gooseberrymoor/mirror/value_order.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <limits>
@@ -30,6 +32,13 @@
     {
         return before != after;
     }
+
+    // How `value` relates to `known` by what their writer says in them. Asked where the store came
+    // back from an older copy, so that revisions can't tell.
+    virtual value_order orderOf(const std::string &value, const std::string &known) const
+    {
+        return value == known ? value_order::not_older : value_order::unknown;
+    }
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/mirror/mirror_update.h
+++ b/gooseberrymoor/mirror/mirror_update.h
@@ -2,8 +2,10 @@
 
 #include "gooseberrymoor/base/millis_clock.h"
 #include "gooseberrymoor/store/store_change.h"
+#include "gooseberrymoor/store/store_era.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +21,8 @@
     duration storeHealthyFor { 0 }; // time since the reader's last failed call to the store
     std::vector<store_change> changes; // only the significant ones
     bool isRelayed = false; // sent by a node that received it from the reader
+    std::optional<store_era> era {}; // of the revisions; a process of an earlier build tells none
+    bool isSnapshot = false; // `changes` are all keys that the store has, at `toRevision`
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/mirror/mirror_update_codec.cpp
+++ b/gooseberrymoor/mirror/mirror_update_codec.cpp
@@ -8,6 +8,17 @@
 
 namespace gooseberrymoor {
 
+namespace {
+
+flatbuffers::Optional<std::uint64_t> eraOf(const mirror_update &update)
+{
+    if (!update.era)
+        return flatbuffers::nullopt;
+    return static_cast<std::uint64_t>(*update.era);
+}
+
+} // namespace
+
 std::vector<std::uint8_t> encodeMirrorUpdate(const mirror_update &update)
 {
     flatbuffers::FlatBufferBuilder builder;
@@ -22,9 +33,9 @@
     }
     const auto prefix = builder.CreateString(update.prefix);
     const auto changeVector = builder.CreateVector(changes);
-    builder.Finish(wire::Createmirror_update(builder, prefix, update.fromRevision,
-                                             update.toRevision, update.storeHealthyFor.count(),
-                                             changeVector, update.isRelayed));
+    builder.Finish(wire::Createmirror_update(
+        builder, prefix, update.fromRevision, update.toRevision, update.storeHealthyFor.count(),
+        changeVector, update.isRelayed, eraOf(update), update.isSnapshot));
     const auto bytes = bytesOf(builder);
     return { bytes.begin(), bytes.end() };
 }
@@ -41,6 +52,9 @@
     update.storeHealthyFor
         = std::clamp(duration(from->well_for_ms()), duration(0), max_external_duration);
     update.isRelayed = from->passed_on();
+    if (const auto era = from->era())
+        update.era = static_cast<store_era>(*era);
+    update.isSnapshot = from->snapshot();
     for (const wire::key_change *each : *from->changes()) {
         store_change change { textOf(each->key()), std::nullopt, each->revision() };
         if (!each->removed() && each->value())
--- a/gooseberrymoor/mirror/mirror_update_generated.h
+++ b/gooseberrymoor/mirror/mirror_update_generated.h
@@ -126,7 +126,9 @@
     VT_TO_REVISION = 8,
     VT_WELL_FOR_MS = 10,
     VT_CHANGES = 12,
-    VT_PASSED_ON = 14
+    VT_PASSED_ON = 14,
+    VT_ERA = 16,
+    VT_SNAPSHOT = 18
   };
   const flatbuffers::String *prefix() const {
     return GetPointer<const flatbuffers::String *>(VT_PREFIX);
@@ -146,6 +148,12 @@
   bool passed_on() const {
     return GetField<uint8_t>(VT_PASSED_ON, 0) != 0;
   }
+  flatbuffers::Optional<uint64_t> era() const {
+    return GetOptional<uint64_t, uint64_t>(VT_ERA);
+  }
+  bool snapshot() const {
+    return GetField<uint8_t>(VT_SNAPSHOT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_PREFIX) &&
@@ -157,6 +165,8 @@
            verifier.VerifyVector(changes()) &&
            verifier.VerifyVectorOfTables(changes()) &&
            VerifyField<uint8_t>(verifier, VT_PASSED_ON, 1) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
+           VerifyField<uint8_t>(verifier, VT_SNAPSHOT, 1) &&
            verifier.EndTable();
   }
 };
@@ -183,6 +193,12 @@
   void add_passed_on(bool passed_on) {
     fbb_.AddElement<uint8_t>(mirror_update::VT_PASSED_ON, static_cast<uint8_t>(passed_on), 0);
   }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(mirror_update::VT_ERA, era);
+  }
+  void add_snapshot(bool snapshot) {
+    fbb_.AddElement<uint8_t>(mirror_update::VT_SNAPSHOT, static_cast<uint8_t>(snapshot), 0);
+  }
   explicit mirror_updateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -201,13 +217,17 @@
     int64_t to_revision = 0,
     int64_t well_for_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<gooseberrymoor::wire::key_change>>> changes = 0,
-    bool passed_on = false) {
+    bool passed_on = false,
+    flatbuffers::Optional<uint64_t> era = flatbuffers::nullopt,
+    bool snapshot = false) {
   mirror_updateBuilder builder_(_fbb);
+  if(era) { builder_.add_era(*era); }
   builder_.add_well_for_ms(well_for_ms);
   builder_.add_to_revision(to_revision);
   builder_.add_from_revision(from_revision);
   builder_.add_changes(changes);
   builder_.add_prefix(prefix);
+  builder_.add_snapshot(snapshot);
   builder_.add_passed_on(passed_on);
   return builder_.Finish();
 }
@@ -224,7 +244,9 @@
     int64_t to_revision = 0,
     int64_t well_for_ms = 0,
     const std::vector<flatbuffers::Offset<gooseberrymoor::wire::key_change>> *changes = nullptr,
-    bool passed_on = false) {
+    bool passed_on = false,
+    flatbuffers::Optional<uint64_t> era = flatbuffers::nullopt,
+    bool snapshot = false) {
   auto prefix__ = prefix ? _fbb.CreateString(prefix) : 0;
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<gooseberrymoor::wire::key_change>>(*changes) : 0;
   return gooseberrymoor::wire::Createmirror_update(
@@ -234,7 +256,9 @@
       to_revision,
       well_for_ms,
       changes__,
-      passed_on);
+      passed_on,
+      era,
+      snapshot);
 }
 
 inline const gooseberrymoor::wire::mirror_update *Getmirror_update(const void *buf) {
--- a/gooseberrymoor/store/etcd_store.cpp
+++ b/gooseberrymoor/store/etcd_store.cpp
@@ -60,16 +60,22 @@
     co_return decodeBody(body, decodeTransactionResponse);
 }
 
-asio::awaitable<tl::expected<std::int64_t, store_error>> etcd_store::grantLease(duration timeToLive)
+asio::awaitable<tl::expected<store_lease, store_error>> etcd_store::grantLease(duration timeToLive)
 {
     const auto body = co_await call("/v3/lease/grant", encodeLeaseGrant(timeToLive));
-    co_return decodeBody(body, decodeLeaseGrant);
+    const auto lease = decodeBody(body, decodeLeaseGrant);
+    if (!lease)
+        co_return tl::unexpected(lease.error());
+    co_return store_lease { *lease };
 }
 
-asio::awaitable<tl::expected<duration, store_error>> etcd_store::keepAlive(std::int64_t lease)
+asio::awaitable<tl::expected<lease_renewal, store_error>> etcd_store::keepAlive(std::int64_t lease)
 {
     const auto body = co_await call("/v3/lease/keepalive", encodeKeepAlive(lease));
-    co_return decodeBody(body, decodeKeepAlive);
+    const auto remaining = decodeBody(body, decodeKeepAlive);
+    if (!remaining)
+        co_return tl::unexpected(remaining.error());
+    co_return lease_renewal { *remaining };
 }
 
 asio::awaitable<tl::expected<bool, store_error>>
--- a/gooseberrymoor/store/etcd_store.h
+++ b/gooseberrymoor/store/etcd_store.h
@@ -34,9 +34,10 @@
     asio::awaitable<tl::expected<store_read, store_error>> readKey(std::string key) override;
     asio::awaitable<tl::expected<transaction_result, store_error>>
     transact(store_transaction transaction) override;
-    asio::awaitable<tl::expected<std::int64_t, store_error>>
+    asio::awaitable<tl::expected<store_lease, store_error>>
     grantLease(duration timeToLive) override;
-    asio::awaitable<tl::expected<duration, store_error>> keepAlive(std::int64_t lease) override;
+    asio::awaitable<tl::expected<lease_renewal, store_error>>
+    keepAlive(std::int64_t lease) override;
     asio::awaitable<tl::expected<bool, store_error>>
     waitForChange(std::string prefix, std::int64_t afterRevision, duration timeout) override;
 
--- a/gooseberrymoor/store/etcd_store_test.cpp
+++ b/gooseberrymoor/store/etcd_store_test.cpp
@@ -121,10 +121,10 @@
     {
         const auto lease = runOn(context, store.grantLease(duration(2000)));
         REQUIRE(lease);
-        REQUIRE(runOn(context, store.transact(put("/l/x", "1", *lease))));
-        const auto left = runOn(context, store.keepAlive(*lease));
+        REQUIRE(runOn(context, store.transact(put("/l/x", "1", lease->id))));
+        const auto left = runOn(context, store.keepAlive(lease->id));
         REQUIRE(left);
-        CHECK(*left == duration(2000));
+        CHECK(left->remaining == duration(2000));
         SUBCASE("expiry of the lease deletes the key, which a watch reports")
         {
             const auto before = runOn(context, store.readPrefix("/l/"));
@@ -139,10 +139,10 @@
             CHECK(after->entries.empty());
             SUBCASE("and the expired lease accepts no further keys")
             {
-                CHECK(!runOn(context, store.transact(put("/l/y", "1", *lease))));
-                const auto ended = runOn(context, store.keepAlive(*lease));
+                CHECK(!runOn(context, store.transact(put("/l/y", "1", lease->id))));
+                const auto ended = runOn(context, store.keepAlive(lease->id));
                 REQUIRE(ended);
-                CHECK(*ended == duration(0));
+                CHECK(ended->remaining == duration(0));
             }
         }
     }
--- a/gooseberrymoor/store/key_value_store.cpp
+++ b/gooseberrymoor/store/key_value_store.cpp
@@ -19,12 +19,12 @@
     co_return read;
 }
 
-asio::awaitable<tl::expected<std::int64_t, store_error>> key_value_store::grantLease(duration)
+asio::awaitable<tl::expected<store_lease, store_error>> key_value_store::grantLease(duration)
 {
     co_return tl::unexpected(notSupported());
 }
 
-asio::awaitable<tl::expected<duration, store_error>> key_value_store::keepAlive(std::int64_t)
+asio::awaitable<tl::expected<lease_renewal, store_error>> key_value_store::keepAlive(std::int64_t)
 {
     co_return tl::unexpected(notSupported());
 }
--- a/gooseberrymoor/store/key_value_store.h
+++ b/gooseberrymoor/store/key_value_store.h
@@ -5,6 +5,7 @@
 #include "gooseberrymoor/store/store_change.h"
 #include "gooseberrymoor/store/store_entry.h"
 #include "gooseberrymoor/store/store_error.h"
+#include "gooseberrymoor/store/store_lease.h"
 #include "gooseberrymoor/store/store_transaction.h"
 
 #include <tl/expected.hpp>
@@ -14,9 +15,10 @@
 
 namespace gooseberrymoor {
 
-// Client of the platform's key-value service. Not thread-safe; any number of tasks may wait on it.
-// A store that does not support leases or watches fails those calls with `unavailable`, and its
-// users poll instead.
+// Client of the platform's key-value service. Each answer tells the store's era, failures too; what
+// is of an older era than one already seen must not be believed (see `store_era_tracker`). Not
+// thread-safe; any number of tasks may wait on it. A store that does not support leases or watches
+// fails those calls with `unavailable`, and its users poll instead.
 class key_value_store
 {
 public:
@@ -34,13 +36,11 @@
     transact(store_transaction transaction) = 0;
 
     // Grants a lease that expires after `timeToLive`, in whole seconds, unless renewed. When it
-    // ends, the keys that were put with it are deleted, and later puts that name it fail. Returns
-    // its ID.
-    virtual asio::awaitable<tl::expected<std::int64_t, store_error>>
-    grantLease(duration timeToLive);
+    // ends, the keys that were put with it are deleted, and later puts that name it fail.
+    virtual asio::awaitable<tl::expected<store_lease, store_error>> grantLease(duration timeToLive);
 
-    // Renews `lease`. Returns its remaining time to live, zero if it has ended.
-    virtual asio::awaitable<tl::expected<duration, store_error>> keepAlive(std::int64_t lease);
+    // Renews the lease with the id `lease`.
+    virtual asio::awaitable<tl::expected<lease_renewal, store_error>> keepAlive(std::int64_t lease);
 
     // Waits until a key with `prefix` has changed after revision `afterRevision`, or for `timeout`.
     // Returns whether one has changed; also true if the store no longer has the history to tell,
--- a/gooseberrymoor/store/store_change.h
+++ b/gooseberrymoor/store/store_change.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "gooseberrymoor/store/store_era.h"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -20,6 +22,7 @@
 {
     std::int64_t revision = 0;
     std::vector<store_change> changes;
+    store_era era = store_era::first; // of the revisions
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/store/store_entry.h
+++ b/gooseberrymoor/store/store_entry.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "gooseberrymoor/store/store_era.h"
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -20,6 +22,7 @@
 {
     std::int64_t revision = 0;
     std::vector<store_entry> entries; // sorted by key
+    store_era era = store_era::first; // of the revisions
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/store/store_transaction.h
+++ b/gooseberrymoor/store/store_transaction.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "gooseberrymoor/store/store_era.h"
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -34,6 +36,7 @@
 {
     bool succeeded = false;
     std::int64_t revision = 0; // of the store, after the transaction
+    store_era era = store_era::first; // of the revision
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/tier/catalog_decoder.h
+++ b/gooseberrymoor/tier/catalog_decoder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gooseberrymoor/replica/replica.h"
+#include "gooseberrymoor/replica/replica_progress.h"
 #include "gooseberrymoor/routing/routing_configuration.h"
 
 #include <tl/expected.hpp>
@@ -34,6 +35,9 @@
 
     virtual tl::expected<replica, std::string> decodeReplica(const std::string &key,
                                                              const std::string &value) const = 0;
+
+    // How far the target had got that wrote the entry `value`; empty if that can't be read.
+    virtual std::optional<replica_progress> decodeProgress(const std::string &value) const = 0;
 };
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/tier/fleet_node.cpp
+++ b/gooseberrymoor/tier/fleet_node.cpp
@@ -6,8 +6,6 @@
 #include "gooseberrymoor/tier/catalog_decoder.h"
 #include "gooseberrymoor/tier/zone_coverage.h"
 
-#include <random>
-
 namespace gooseberrymoor {
 
 namespace {
@@ -17,6 +15,7 @@
 constexpr duration reconcile_interval { 500 }; // of connections, while the targets stay the same
 constexpr duration drain_check_interval { 10 };
 constexpr duration announcer_stop_timeout { 200 };
+constexpr duration announcement_interval { 8 }; // between two nodes, after the start of an era
 constexpr const char *fleet_cell = "fleet";
 constexpr duration reader_grace_period { 500 };
 constexpr follower_timing operator_timing { duration(50), duration(1000), reader_grace_period,
@@ -49,19 +48,20 @@
       m_operatorMirror(m_operatorKeys, m_storeAvailability, operator_reregistration_time),
       m_replicaMirror(m_replicaKeys, m_storeAvailability, m_settings.reregistrationTime),
       m_fleetMirror(m_fleet, m_storeAvailability, m_settings.reregistrationTime),
-      m_operatorFollower(
-          executor,
-          { store, m_operatorMirror, m_storeAvailability, m_relay, m_liveness, log, counters },
-          decoder.operatorPrefix(), operator_timing),
-      m_replicaFollower(
-          executor,
-          { store, m_replicaMirror, m_storeAvailability, m_relay, m_liveness, log, counters },
-          decoder.replicaPrefix(), replica_timing),
-      m_fleetFollower(
-          executor,
-          { store, m_fleetMirror, m_storeAvailability, m_relay, m_liveness, log, counters },
-          m_settings.fleetPrefix, fleet_timing),
-      m_announcer(executor, store, m_settings.fleetPrefix, m_settings.own, log, counters),
+      m_operatorFollower(executor,
+                         { store, m_operatorMirror, m_storeAvailability, m_storeEra, m_relay,
+                           m_liveness, log, counters },
+                         decoder.operatorPrefix(), operator_timing),
+      m_replicaFollower(executor,
+                        { store, m_replicaMirror, m_storeAvailability, m_storeEra, m_relay,
+                          m_liveness, log, counters },
+                        decoder.replicaPrefix(), replica_timing),
+      m_fleetFollower(executor,
+                      { store, m_fleetMirror, m_storeAvailability, m_storeEra, m_relay, m_liveness,
+                        log, counters },
+                      m_settings.fleetPrefix, fleet_timing),
+      m_announcer(executor, store, m_storeEra, m_settings.fleetPrefix, m_settings.own, log,
+                  counters),
       m_wake(executor)
 {
 }
@@ -157,6 +157,8 @@
         m_fleet.onTime(millis_clock::now());
         if (m_fleet.generation() != m_appliedFleetGeneration)
             onFleetChange();
+        if (m_storeEra.changes() != m_appliedEraChanges)
+            onStoreEraChange();
         if (millis_clock::now() >= m_servingNodesUpdatedAt + serving_nodes_interval)
             updateServingNodes();
         reconcileConnections();
@@ -195,6 +197,21 @@
     updateServingNodes();
 }
 
+// Publishes this node's key again and wakes the followers. Larger fleets take longer, since the
+// store bounds the rate of writes.
+void fleet_node::onStoreEraChange()
+{
+    m_appliedEraChanges = m_storeEra.changes();
+    m_counters.add("store_era_changes");
+    m_log.write("store_era_changed",
+                { { "era", std::to_string(static_cast<std::uint64_t>(m_storeEra.current())) } });
+    const auto spread = announcement_interval * static_cast<duration::rep>(m_fleet.size());
+    std::uniform_int_distribution<duration::rep> delay(0, spread.count());
+    m_announcer.onEraChange(duration(delay(m_random)));
+    for (mirror_follower *each : { &m_operatorFollower, &m_replicaFollower, &m_fleetFollower })
+        each->onEraChange();
+}
+
 // Only nodes that callers are sent to share the targets' connections. A stopping node keeps its
 // share, since callers still use it.
 void fleet_node::updateServingNodes()
--- a/gooseberrymoor/tier/fleet_node.h
+++ b/gooseberrymoor/tier/fleet_node.h
@@ -22,6 +22,7 @@
 #include "gooseberrymoor/replica/expected_wait_selector.h"
 #include "gooseberrymoor/replica/replica_set.h"
 #include "gooseberrymoor/replica/replica_subset.h"
+#include "gooseberrymoor/store/store_era_tracker.h"
 #include "gooseberrymoor/tier/operator_key_listener.h"
 #include "gooseberrymoor/tier/replica_key_listener.h"
 #include "gooseberrymoor/tier/stop_schedule.h"
@@ -34,6 +35,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -118,6 +120,7 @@
     void reconcileConnections();
     void onConfiguration();
     void onFleetChange();
+    void onStoreEraChange();
     void updateServingNodes();
 
     asio::any_io_executor m_executor;
@@ -141,6 +144,7 @@
     zone_relay_topology m_relayTopology;
     mirror_relay m_relay;
     store_availability m_storeAvailability;
+    store_era_tracker m_storeEra;
     store_mirror m_operatorMirror;
     store_mirror m_replicaMirror;
     store_mirror m_fleetMirror;
@@ -152,6 +156,8 @@
     http_server *m_callerServer = nullptr;
     stall_detector m_stallDetector { millis_clock::now() };
     std::uint64_t m_appliedFleetGeneration = 0;
+    std::uint64_t m_appliedEraChanges = 0;
+    std::mt19937_64 m_random { std::random_device()() };
     std::set<std::string> m_servingNodes; // names of the nodes that callers are sent to
     time_point m_servingNodesUpdatedAt {};
     std::uint64_t m_reconciledGeneration = 0; // of the targets
--- a/gooseberrymoor/tier/operator_key_listener.cpp
+++ b/gooseberrymoor/tier/operator_key_listener.cpp
@@ -39,6 +39,17 @@
     m_log.write("zone_back", { { "availability_zone", *zone } });
 }
 
+// Only configurations have an order: by their versions.
+value_order operator_key_listener::orderOf(const std::string &value, const std::string &known) const
+{
+    const auto configuration = m_decoder.decodeConfiguration(value);
+    const auto knownConfiguration = m_decoder.decodeConfiguration(known);
+    if (!configuration || !knownConfiguration)
+        return mirror_listener::orderOf(value, known);
+    return configuration->version < knownConfiguration->version ? value_order::older
+                                                                : value_order::not_older;
+}
+
 void operator_key_listener::applyConfiguration(const std::string &value, std::int64_t revision)
 {
     auto configuration = m_decoder.decodeConfiguration(value);
--- a/gooseberrymoor/tier/operator_key_listener.h
+++ b/gooseberrymoor/tier/operator_key_listener.h
@@ -26,6 +26,7 @@
 
     void onValue(const std::string &key, const std::string &value, std::int64_t revision) override;
     void onRemoved(const std::string &key) override;
+    value_order orderOf(const std::string &value, const std::string &known) const override;
 
     // The routes of the active configuration; null before the first one.
     const std::shared_ptr<const route_table> &routes() const { return m_routes; }
--- a/gooseberrymoor/tier/replica_key_listener.cpp
+++ b/gooseberrymoor/tier/replica_key_listener.cpp
@@ -60,6 +60,17 @@
     return *previous != *entry;
 }
 
+value_order replica_key_listener::orderOf(const std::string &value, const std::string &known) const
+{
+    const auto progress = m_decoder.decodeProgress(value);
+    const auto knownProgress = m_decoder.decodeProgress(known);
+    if (!progress || !knownProgress)
+        return value_order::unknown;
+    if (progress->incarnation > knownProgress->incarnation)
+        return value_order::later_start;
+    return *progress < *knownProgress ? value_order::older : value_order::not_older;
+}
+
 void replica_key_listener::onRemoved(const std::string &key)
 {
     const auto found = m_targetIds.find(key);
--- a/gooseberrymoor/tier/replica_key_listener.h
+++ b/gooseberrymoor/tier/replica_key_listener.h
@@ -24,6 +24,7 @@
     void onRemoved(const std::string &key) override;
     std::size_t maxValueBytes() const override;
     bool isSignificantChange(const std::string &before, const std::string &after) const override;
+    value_order orderOf(const std::string &value, const std::string &known) const override;
 
 private:
     const catalog_decoder &m_decoder;
--- a/gooseberrymoor/tier/state_page.cpp
+++ b/gooseberrymoor/tier/state_page.cpp
@@ -39,6 +39,7 @@
     json::array prefixes;
     for (const mirror_follower *each : tier.followers()) {
         prefixes.push_back(json::object { { "prefix", each->prefix() },
+                                          { "era", static_cast<std::uint64_t>(each->era()) },
                                           { "revision", each->revision() },
                                           { "age_ms", each->age(now).count() },
                                           { "current", each->isCurrent(now) } });
--- a/testing/fuzz/decoder_fuzz_test.cpp
+++ b/testing/fuzz/decoder_fuzz_test.cpp
@@ -226,6 +226,12 @@
             return platform::decodeNumber(text, "ttl_ms").has_value();
         });
     }
+    SUBCASE("as the era of an answer of the store")
+    {
+        fuzz({ "12", "18446744073709551615" }, [](const std::string &text) {
+            return platform::decodeEra({ { "Store-Era", text } }).has_value();
+        });
+    }
     SUBCASE("as the entry of a node")
     {
         fleet_member member;
@@ -251,13 +257,16 @@
     }
     SUBCASE("as an update of a peer")
     {
-        const mirror_update update { "servers/",
-                                     4,
-                                     9,
-                                     duration(1200),
-                                     { { "servers/a", "1", 5 }, { "servers/b", std::nullopt, 9 } },
-                                     true };
-        fuzz({ textOf(encodeMirrorUpdate(update)) }, useMirrorUpdate);
+        mirror_update update { "servers/",
+                               4,
+                               9,
+                               duration(1200),
+                               { { "servers/a", "1", 5 }, { "servers/b", std::nullopt, 9 } },
+                               true };
+        const std::string withoutEra = textOf(encodeMirrorUpdate(update));
+        update.era = static_cast<store_era>(3);
+        update.isSnapshot = true;
+        fuzz({ withoutEra, textOf(encodeMirrorUpdate(update)) }, useMirrorUpdate);
     }
     SUBCASE("as the head of a target's reply")
     {
--- a/testing/platform_stand_in/leaf_stand_in.cpp
+++ b/testing/platform_stand_in/leaf_stand_in.cpp
@@ -72,6 +72,7 @@
 void leaf_stand_in::restart()
 {
     ++m_incarnation;
+    m_sequence = 0;
     m_leaving = false;
 }
 
@@ -85,11 +86,17 @@
     const boost::json::object body { { "service", m_service },   { "address", toString(m_address) },
                                      { "zone", m_zone },         { "version", "v1" },
                                      { "slots", slots },         { "state", state },
-                                     { "cold_remaining_ms", 0 }, { "sequence", 1 },
+                                     { "cold_remaining_ms", 0 }, { "sequence", m_sequence },
                                      { "born", m_incarnation } };
     return boost::json::serialize(body);
 }
 
+std::string leaf_stand_in::nextEntry(const std::string &state)
+{
+    ++m_sequence;
+    return entry(state);
+}
+
 int leaf_stand_in::runsOf(const std::string &attemptId) const
 {
     const auto found = m_runsById.find(attemptId);
--- a/testing/platform_stand_in/leaf_stand_in.h
+++ b/testing/platform_stand_in/leaf_stand_in.h
@@ -50,8 +50,9 @@
     // Starts the target anew under its id: it forgets that it was leaving.
     void restart();
 
-    // The value that the target registers in the store.
+    // The value that the target registers in the store: that of its last write, or of the next one.
     std::string entry(const std::string &state = "ready") const;
+    std::string nextEntry(const std::string &state = "ready");
 
     const std::string &id() const { return m_id; }
     const std::string &service() const { return m_service; }
@@ -85,6 +86,7 @@
     int m_maxRunning = 0;
     int m_arrivals = 0;
     int m_incarnation = 1;
+    int m_sequence = 0; // of the last entry
     bool m_leaving = false;
     std::string m_retryAfter;
 };
--- a/testing/platform_stand_in/platform_store_stand_in.cpp
+++ b/testing/platform_stand_in/platform_store_stand_in.cpp
@@ -1,5 +1,7 @@
 #include "platform_store_stand_in.h"
 
+#include "platform/protocol_names.h"
+
 #include <boost/json.hpp>
 
 namespace gooseberrymoor {
@@ -38,6 +40,25 @@
 }
 
 asio::awaitable<http_reply> platform_store_stand_in::handle(http_request request)
+{
+    http_reply reply = co_await process(std::move(request));
+    co_return withEra(std::move(reply));
+}
+
+http_reply platform_store_stand_in::withEra(http_reply reply) const
+{
+    if (m_tellsEra)
+        reply.headers.emplace_back(platform::store_era_field, std::to_string(m_state.era()));
+    return reply;
+}
+
+void platform_store_stand_in::restoreCopy()
+{
+    m_state.restoreCopy(millis_clock::now());
+    m_changed.notify();
+}
+
+asio::awaitable<http_reply> platform_store_stand_in::process(http_request request)
 {
     ++m_calls[request.path.substr(0, request.path.find('?'))];
     if (m_state.expireLeases(millis_clock::now()))
@@ -45,7 +66,7 @@
     if (m_faultMode == store_fault_mode::silent)
         co_await withholdAnswer();
     if (m_faultMode == store_fault_mode::busy)
-        co_return refuse(error_kind::overloaded);
+        co_return http_reply(503, "{}");
     if (request.path.starts_with("/kv-watch"))
         co_return co_await watch(request.path);
     http_reply reply = answer(request);
@@ -59,7 +80,7 @@
 
 http_reply platform_store_stand_in::refuse(error_kind)
 {
-    return { 503, "{}" };
+    return withEra({ 503, "{}" });
 }
 
 void platform_store_stand_in::put(const std::string &key, const std::string &value)
--- a/testing/platform_stand_in/platform_store_stand_in.h
+++ b/testing/platform_stand_in/platform_store_stand_in.h
@@ -31,6 +31,12 @@
     void put(const std::string &key, const std::string &value);
     void remove(const std::string &key);
 
+    // Goes back to the copy of the state and cuts the watches that wait.
+    void restoreCopy();
+
+    // Whether answers tell the era; they do by default.
+    void setTellsEra(bool tells) { m_tellsEra = tells; }
+
     void setFaultMode(store_fault_mode mode) { m_faultMode = mode; }
 
     // Applies the next `count` writes without answering them.
@@ -42,13 +48,16 @@
     platform_store_state &state() { return m_state; }
 
 private:
+    asio::awaitable<http_reply> process(http_request request);
     http_reply answer(const http_request &request);
     asio::awaitable<http_reply> watch(std::string path);
+    http_reply withEra(http_reply reply) const;
     asio::awaitable<void> withholdAnswer();
 
     platform_store_state m_state;
     signal m_changed;
     store_fault_mode m_faultMode = store_fault_mode::no_fault;
+    bool m_tellsEra = true;
     int m_repliesToLose = 0;
     std::map<std::string, int> m_calls;
 };
--- a/testing/platform_stand_in/platform_store_state.cpp
+++ b/testing/platform_stand_in/platform_store_state.cpp
@@ -34,7 +34,7 @@
 {
     json::array items;
     bool hasMore = false;
-    for (const auto &[key, each] : m_items) {
+    for (const auto &[key, each] : m_contents.items) {
         if (!key.starts_with(prefix) || (!after.empty() && key <= after))
             continue;
         if (items.size() == page_size) {
@@ -45,13 +45,13 @@
     }
     return { { "items", std::move(items) },
              { "has_more", hasMore },
-             { "store_revision", m_revision } };
+             { "store_revision", m_contents.revision } };
 }
 
 std::optional<json::object> platform_store_state::changes(const std::string &prefix,
                                                           std::int64_t after) const
 {
-    if (after < m_compactedRevision)
+    if (after < m_compactedRevision || after > m_contents.revision)
         return std::nullopt;
     json::array events;
     for (const event &each : m_history) {
@@ -63,21 +63,22 @@
             events.emplace_back(json::object {
                 { "key", each.key }, { "revision", each.revision }, { "deleted", true } });
     }
-    return json::object { { "events", std::move(events) }, { "store_revision", m_revision } };
+    return json::object { { "events", std::move(events) },
+                          { "store_revision", m_contents.revision } };
 }
 
 std::pair<unsigned, json::object> platform_store_state::transact(const json::object &body)
 {
     for (const json::value &each : body.at("expected_revision").as_array()) {
         const json::object &condition = each.as_object();
-        const auto found = m_items.find(stringField(condition, "key"));
-        const std::int64_t actual = found == m_items.end() ? 0 : found->second.revision;
+        const auto found = m_contents.items.find(stringField(condition, "key"));
+        const std::int64_t actual = found == m_contents.items.end() ? 0 : found->second.revision;
         if (actual != condition.at("revision").to_number<std::int64_t>())
             return { status_condition_failed, { { "items", json::array() } } };
     }
     for (const json::value &each : body.at("puts").as_array()) {
         const auto lease = each.as_object().at("lease").to_number<std::int64_t>();
-        if (lease != 0 && !m_leases.contains(lease))
+        if (lease != 0 && !m_contents.leases.contains(lease))
             return { status_not_found, {} };
     }
     for (const json::value &each : body.at("puts").as_array()) {
@@ -87,19 +88,19 @@
     }
     for (const json::value &each : body.at("deletes").as_array())
         remove(std::string(each.as_string()));
-    return { status_ok, { { "revision", m_revision } } };
+    return { status_ok, { { "revision", m_contents.revision } } };
 }
 
 std::int64_t platform_store_state::grantLease(duration timeToLive, time_point now)
 {
-    m_leases[++m_lastLease] = { timeToLive, now + timeToLive };
-    return m_lastLease;
+    m_contents.leases[++m_contents.lastLease] = { timeToLive, now + timeToLive };
+    return m_contents.lastLease;
 }
 
 std::optional<duration> platform_store_state::renew(std::int64_t lease, time_point now)
 {
-    const auto found = m_leases.find(lease);
-    if (found == m_leases.end())
+    const auto found = m_contents.leases.find(lease);
+    if (found == m_contents.leases.end())
         return std::nullopt;
     found->second.expiry = now + found->second.timeToLive;
     return found->second.timeToLive;
@@ -108,19 +109,19 @@
 bool platform_store_state::revokeLease(std::int64_t lease)
 {
     std::vector<std::string> keys;
-    for (const auto &[key, each] : m_items) {
+    for (const auto &[key, each] : m_contents.items) {
         if (each.lease == lease)
             keys.push_back(key);
     }
     for (const std::string &key : keys)
         remove(key);
-    return m_leases.erase(lease) > 0;
+    return m_contents.leases.erase(lease) > 0;
 }
 
 bool platform_store_state::expireLeases(time_point now)
 {
     std::vector<std::int64_t> expired;
-    for (const auto &[lease, state] : m_leases) {
+    for (const auto &[lease, state] : m_contents.leases) {
         if (state.expiry <= now)
             expired.push_back(lease);
     }
@@ -131,35 +132,56 @@
 
 void platform_store_state::put(const std::string &key, const std::string &value, std::int64_t lease)
 {
-    item &each = m_items[key];
+    item &each = m_contents.items[key];
     each.value = value;
-    each.revision = ++m_revision;
-    each.created = each.created == 0 ? m_revision : each.created;
+    each.revision = ++m_contents.revision;
+    each.created = each.created == 0 ? m_contents.revision : each.created;
     each.lease = lease;
-    m_history.push_back({ key, each, m_revision });
+    m_history.push_back({ key, each, m_contents.revision });
 }
 
 void platform_store_state::remove(const std::string &key)
 {
-    if (m_items.erase(key) > 0)
-        m_history.push_back({ key, std::nullopt, ++m_revision });
+    if (m_contents.items.erase(key) > 0)
+        m_history.push_back({ key, std::nullopt, ++m_contents.revision });
+}
+
+void platform_store_state::copy()
+{
+    m_copy = m_contents;
+}
+
+void platform_store_state::restoreCopy(time_point now)
+{
+    m_contents = m_copy;
+    for (auto &[lease, state] : m_contents.leases)
+        state.expiry = now + state.timeToLive;
+    m_history.clear();
+    m_compactedRevision = m_contents.revision;
+    ++m_era;
+}
+
+std::int64_t platform_store_state::leaseOf(const std::string &key) const
+{
+    const auto found = m_contents.items.find(key);
+    return found == m_contents.items.end() ? 0 : found->second.lease;
 }
 
 std::optional<std::string> platform_store_state::value(const std::string &key) const
 {
-    const auto found = m_items.find(key);
-    if (found == m_items.end())
+    const auto found = m_contents.items.find(key);
+    if (found == m_contents.items.end())
         return std::nullopt;
     return found->second.value;
 }
 
 std::optional<duration> platform_store_state::leaseTtlOf(const std::string &key) const
 {
-    const auto item = m_items.find(key);
-    if (item == m_items.end())
+    const auto item = m_contents.items.find(key);
+    if (item == m_contents.items.end())
         return std::nullopt;
-    const auto lease = m_leases.find(item->second.lease);
-    if (lease == m_leases.end())
+    const auto lease = m_contents.leases.find(item->second.lease);
+    if (lease == m_contents.leases.end())
         return std::nullopt;
     return lease->second.timeToLive;
 }
--- a/testing/platform_stand_in/platform_store_state.h
+++ b/testing/platform_stand_in/platform_store_state.h
@@ -20,8 +20,8 @@
     // Handles GET /kv-range: returns at most `page_size` items after the key `after`.
     boost::json::object range(const std::string &prefix, const std::string &after) const;
 
-    // Handles GET /kv-watch. Returns nothing if the history after `after` was compacted, and an
-    // object without events if there are none yet.
+    // Handles GET /kv-watch. Returns nothing if the store does not have the history after `after`,
+    // and an object without events if there are none yet.
     std::optional<boost::json::object> changes(const std::string &prefix, std::int64_t after) const;
 
     // Handles POST /kv-txn; returns the status and body.
@@ -45,7 +45,23 @@
 
     // Marks the history up to now as compacted: a watch from an earlier revision fails with status
     // 410.
-    void compact() { m_compactedRevision = m_revision; }
+    void compact() { m_compactedRevision = m_contents.revision; }
+
+    // Copies the keys, leases and the revision.
+    void copy();
+
+    // Goes back to the last copy and begins a new era: what was written since is lost, and
+    // revisions and lease ids are given out again. The leases of the copy run anew.
+    void restoreCopy(time_point now);
+
+    // The era, from 1 on.
+    std::uint64_t era() const { return m_era; }
+
+    // The store's revision.
+    std::int64_t revision() const { return m_contents.revision; }
+
+    // The lease that `key` is attached to; 0 if there is none.
+    std::int64_t leaseOf(const std::string &key) const;
 
     // The value of `key`; nothing if it does not exist.
     std::optional<std::string> value(const std::string &key) const;
@@ -75,14 +91,22 @@
         std::int64_t revision = 0;
     };
 
+    // What a copy holds.
+    struct contents
+    {
+        std::map<std::string, item> items;
+        std::map<std::int64_t, lease_state> leases;
+        std::int64_t revision = 1;
+        std::int64_t lastLease = 100;
+    };
+
     static boost::json::object describe(const std::string &key, const item &each);
 
-    std::map<std::string, item> m_items;
-    std::map<std::int64_t, lease_state> m_leases;
-    std::vector<event> m_history;
-    std::int64_t m_revision = 1;
+    contents m_contents;
+    contents m_copy;
+    std::vector<event> m_history; // of this era
     std::int64_t m_compactedRevision = 0;
-    std::int64_t m_lastLease = 100;
+    std::uint64_t m_era = 1;
 };
 
 } // namespace gooseberrymoor
--- a/testing/platform_stand_in/small_site.cpp
+++ b/testing/platform_stand_in/small_site.cpp
@@ -100,9 +100,17 @@
     m_leafServers.push_back(std::move(server));
 }
 
-void small_site::write(const leaf_stand_in &leaf, const std::string &state)
+void small_site::write(leaf_stand_in &leaf, const std::string &state)
 {
-    m_store->put(platform::replica_prefix + leaf.id(), leaf.entry(state));
+    m_store->put(platform::replica_prefix + leaf.id(), leaf.nextEntry(state));
+}
+
+void small_site::restoreStore(duration outage)
+{
+    m_store->setFaultMode(store_fault_mode::busy);
+    runFor(outage);
+    m_store->restoreCopy();
+    m_store->setFaultMode(store_fault_mode::no_fault);
 }
 
 leaf_stand_in &small_site::leaf(const std::string &id)
--- a/testing/platform_stand_in/small_site.h
+++ b/testing/platform_stand_in/small_site.h
@@ -102,7 +102,10 @@
     leaf_stand_in &leaf(const std::string &id);
 
     // Writes the store entry of `leaf`, with `state`.
-    void write(const leaf_stand_in &leaf, const std::string &state = "ready");
+    void write(leaf_stand_in &leaf, const std::string &state = "ready");
+
+    // The store goes away for `outage` and comes back from its copy (`platform_store_state::copy`).
+    void restoreStore(duration outage);
 
 private:
     // The store as node `index` reaches it.
