Soak: play a store that comes back from an older copy

A copy is kept every 3 s; the fault takes the store away for a second at most and puts it back; operators and targets write theirs again 0.3 s later. At the end every node's key must be in the store again.

--- a/testing/soak/fault_plan.h
+++ b/testing/soak/fault_plan.h
@@ -32,9 +32,10 @@
     target_backing_off, // refuses requests and asks for a pause
     target_replies_repeated, // a relay sends each reply a second time
     target_replies_cut, // a relay breaks replies off halfway
+    store_restored, // comes back from an older copy; operators and targets write theirs again
 };
 
-constexpr name_table<fault_kind, 21> names(fault_kind)
+constexpr name_table<fault_kind, 22> names(fault_kind)
 {
     return { { { fault_kind::node_killed, "node_killed" },
                { fault_kind::node_stopped, "node_stopped" },
@@ -56,7 +57,8 @@
                { fault_kind::target_leaving, "target_leaving" },
                { fault_kind::target_backing_off, "target_backing_off" },
                { fault_kind::target_replies_repeated, "target_replies_repeated" },
-               { fault_kind::target_replies_cut, "target_replies_cut" } } };
+               { fault_kind::target_replies_cut, "target_replies_cut" },
+               { fault_kind::store_restored, "store_restored" } } };
 }
 
 // One fault with its time. Value type.
--- a/testing/soak/soak_site.cpp
+++ b/testing/soak/soak_site.cpp
@@ -1,6 +1,7 @@
 #include "soak_site.h"
 
 #include "platform/platform_settings.h"
+#include "platform/protocol_names.h"
 #include "testing/platform_stand_in/settings_file.h"
 
 #include <algorithm>
@@ -19,6 +20,9 @@
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_refused = 503;
 constexpr const char *ready_state = "ready";
+constexpr duration store_copy_interval { 3000 };
+constexpr duration max_restore_outage { 1000 };
+constexpr duration rewrite_delay { 300 }; // of operators and targets after the store's return
 constexpr const char *pause_seconds = "0.4"; // that a full target asks for
 
 std::vector<endpoint> callerAddresses(const small_site &site, std::size_t nodes)
@@ -43,7 +47,7 @@
         const endpoint relayed = relayAddressFor(leaf->address());
         m_targetRelays.push_back(std::make_unique<tcp_relay>(relayed, leaf->address()));
         leaf->setAddress(relayed);
-        m_site.write(*leaf);
+        writeTarget(*leaf, ready_state);
     }
     m_site.configure(m_version);
 }
@@ -183,11 +187,41 @@
     case fault_kind::store_writes_lost:
         store.loseWriteReplies(2);
         break;
+    case fault_kind::store_restored:
+        restoreStore(until);
+        break;
     default:
         store.state().compact();
     }
 }
 
+// The store is away until `until` at the latest, and comes back from its last copy.
+void soak_site::restoreStore(time_point until)
+{
+    platform_store_stand_in &store = m_site.store();
+    store.setFaultMode(store_fault_mode::busy);
+    const time_point back = std::min(until, millis_clock::now() + max_restore_outage);
+    scheduleRecovery(back, [&store] {
+        store.restoreCopy();
+        store.setFaultMode(store_fault_mode::no_fault);
+    });
+    scheduleRecovery(back + rewrite_delay, [this] { rewriteKeys(); });
+}
+
+// Operators and targets write again what they had written.
+void soak_site::rewriteKeys()
+{
+    m_site.configure(m_version, m_version > 1 ? "/extra/" + std::to_string(m_version) + "/" : "");
+    for (const auto &leaf : m_site.leafs())
+        m_site.write(*leaf, m_targetStates.at(leaf.get()));
+}
+
+void soak_site::writeTarget(leaf_stand_in &leaf, const std::string &state)
+{
+    m_targetStates[&leaf] = state;
+    m_site.write(leaf, state);
+}
+
 void soak_site::injectTargetFault(fault_kind kind, std::size_t target, time_point until)
 {
     leaf_stand_in &leaf = *m_site.leafs()[target];
@@ -220,7 +254,7 @@
         leaf.setLeaving(true);
         scheduleRecovery(until, [this, &leaf] {
             leaf.restart();
-            m_site.write(leaf, ready_state);
+            writeTarget(leaf, ready_state);
         });
         break;
     case fault_kind::target_backing_off:
@@ -235,8 +269,8 @@
         setMode(relay_mode::cut_replies);
         break;
     default:
-        m_site.write(leaf, "draining");
-        scheduleRecovery(until, [this, &leaf] { m_site.write(leaf, ready_state); });
+        writeTarget(leaf, "draining");
+        scheduleRecovery(until, [this, &leaf] { writeTarget(leaf, ready_state); });
     }
 }
 
@@ -247,6 +281,10 @@
 
 void soak_site::runDueRecoveries(time_point now)
 {
+    if (now >= m_storeCopiedAt + store_copy_interval) {
+        m_storeCopiedAt = now;
+        m_site.store().state().copy();
+    }
     std::vector<scheduled_recovery> due;
     for (const scheduled_recovery &each : m_recoveries) {
         if (each.when <= now)
@@ -272,6 +310,17 @@
     return true;
 }
 
+bool soak_site::allNodesArePublished()
+{
+    for (std::size_t node = 0; node < m_nodeCount; ++node) {
+        const std::string key
+            = platform::fleet_prefix + m_site.settingsOf(static_cast<int>(node)).tier.own.name;
+        if (!m_site.runUntil([&] { return m_site.store().state().value(key).has_value(); }))
+            return false;
+    }
+    return true;
+}
+
 bool soak_site::serves(std::size_t node, const std::string &path)
 {
     const std::string method = path.starts_with("/post/") ? "POST" : "GET";
--- a/testing/soak/soak_site.h
+++ b/testing/soak/soak_site.h
@@ -33,6 +33,9 @@
     // Waits until every node serves every kind of request. Returns false on a timeout.
     bool allNodesServe();
 
+    // Waits until the store has the key of every node. Returns false on a timeout.
+    bool allNodesArePublished();
+
     // Describes each request that violated a guarantee: an unsafe request that ran more than once
     // or ran although it was refused, an answer to a request that did not run, or an answer that
     // is incomplete or belongs to another request.
@@ -54,6 +57,9 @@
     void injectFault(const planned_fault &fault);
     void injectNodeFault(fault_kind kind, std::size_t node, time_point until);
     void injectStoreFault(fault_kind kind, time_point until);
+    void restoreStore(time_point until);
+    void rewriteKeys();
+    void writeTarget(leaf_stand_in &leaf, const std::string &state);
     void injectTargetFault(fault_kind kind, std::size_t target, time_point until);
     void scheduleRecovery(time_point when, std::function<void()> run);
     void runDueRecoveries(time_point now);
@@ -67,6 +73,8 @@
     std::size_t m_nodeCount;
     soak_callers m_callers;
     std::vector<scheduled_recovery> m_recoveries;
+    std::map<const leaf_stand_in *, std::string> m_targetStates; // as last written
+    time_point m_storeCopiedAt {};
     int m_version = 1;
     int m_checks = 0;
 };
--- a/testing/soak/soak_test.cpp
+++ b/testing/soak/soak_test.cpp
@@ -21,7 +21,7 @@
 };
 
 // Plans that failed once guard against regressions; they keep the kinds of their time.
-constexpr soak_plan regression_plans[] = { { 1, 16 }, { 2, 16 }, { 3 } };
+constexpr soak_plan regression_plans[] = { { 1, 16 }, { 2, 16 }, { 3, 21 }, { 4 } };
 
 // The environment variable SOAK_SEEDS="FROM TO" replaces the seeds by a range.
 std::vector<soak_plan> plans()
@@ -51,6 +51,7 @@
         CAPTURE(describe(plan));
         site.runPlan(plan, plan_length);
         CHECK(site.allNodesServe());
+        CHECK(site.allNodesArePublished());
         const std::vector<std::string> violations = site.guaranteeViolations();
         for (const std::string &each : violations)
             FAIL_CHECK(each);
