Let the random histories of a restored store have old values written again

Where a writer writes first what it had written first, after the store's return, a node must not take it for news.

--- a/gooseberrymoor/mirror/store_era_history_test.cpp
+++ b/gooseberrymoor/mirror/store_era_history_test.cpp
@@ -19,6 +19,7 @@
 
 constexpr duration step { 100 };
 constexpr duration beat_interval { 1200 }; // between two writes of a writer
+constexpr duration rewrite_delay { 300 };
 constexpr duration expiry_time { 3600 }; // of an entry that its writer doesn't write any more
 constexpr duration max_answer_delay { 2000 };
 // Time after the last fault in which the copy comes to match the truth: entries of ended writers
@@ -163,6 +164,7 @@
     written_value value;
     bool isAlive = true;
     time_point nextBeat {};
+    std::string firstText {}; // what it wrote first in this start; empty before
 };
 
 class history
@@ -183,7 +185,7 @@
         switch (action) {
         case 0:
             chosen.value.isDraining = chosen.isAlive;
-            chosen.nextBeat = m_now;
+            chosen.nextBeat = soonestBeat();
             break;
         case 1: // it ends and removes its entry
             chosen.isAlive = false;
@@ -192,13 +194,15 @@
             break;
         case 2:
             if (!chosen.isAlive)
-                chosen = { { chosen.value.start + 1, 0, false }, true, m_now };
+                chosen = { { chosen.value.start + 1, 0, false }, true, soonestBeat() };
             break;
         case 3:
             m_store.copy();
             break;
         case 4:
             m_store.restore(m_now);
+            if (twice)
+                scheduleRewrite();
             break;
         default: {
             const duration delay = late ? max_answer_delay : duration(0);
@@ -239,11 +243,33 @@
             if (!each.isAlive || m_now < each.nextBeat)
                 continue;
             ++each.value.sequence;
+            if (each.firstText.empty())
+                each.firstText = each.value.text();
             m_store.put(name, each.value.text(), m_now);
             each.nextBeat = m_now + beat_interval;
         }
     }
 
+    // After the store's return, the living writers write first what they had written first.
+    void scheduleRewrite()
+    {
+        m_rewriteAt = m_now + rewrite_delay;
+        for (auto &[name, each] : m_writers)
+            each.nextBeat = std::max(each.nextBeat, m_rewriteAt + step);
+    }
+
+    time_point soonestBeat() const { return std::max(m_now, m_rewriteAt + step); }
+
+    void rewrite()
+    {
+        if (m_now != m_rewriteAt)
+            return;
+        for (const auto &[name, each] : m_writers) {
+            if (each.isAlive && !each.firstText.empty())
+                m_store.put(name, each.firstText, m_now);
+        }
+    }
+
     void read(bool all, duration delay)
     {
         delivery answer;
@@ -272,6 +298,7 @@
 
     void advance()
     {
+        rewrite();
         beat();
         m_store.expire(m_now);
         const auto due
@@ -322,6 +349,7 @@
     std::map<std::string, std::set<int>> m_knownDraining; // by the node
     std::map<std::string, std::set<int>> m_knownEnded; // by the node
     std::map<std::string, written_value> m_before; // the node's view at the last check
+    time_point m_rewriteAt {};
     bool m_hasLateAnswers;
 };
 
