--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -44,6 +44,10 @@
     """Ends the connection without an answer."""
 
 
+class Answered(Exception):
+    """The handler has written its answer itself."""
+
+
 async def read_head(reader):
     head = await reader.readuntil(b"\r\n\r\n")
     first, *lines = head.decode("latin-1").split("\r\n")[:-2]
@@ -88,7 +92,10 @@
                 body = await read_body(reader, headers)
                 request = {"method": method, "target": target, "headers": headers, "body": body,
                            "writer": writer}
-                status, extra, answer = await self.handle(request)
+                try:
+                    status, extra, answer = await self.handle(request)
+                except Answered:
+                    continue
                 lines = [f"HTTP/1.1 {status} X"] + [f"{n}: {v}" for n, v in extra]
                 lines.append(f"Content-Length: {len(answer)}")
                 writer.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + answer)
@@ -485,6 +492,8 @@
             await node.wait_ready()
 
     async def stop(self):
+        for task in self.tasks:
+            task.cancel()
         for node in self.nodes:
             if node.process and node.process.returncode is None:
                 for number in (signal.SIGCONT, signal.SIGKILL):
@@ -493,8 +502,6 @@
                     except ProcessLookupError:
                         pass
                 await node.process.wait()
-        for task in self.tasks:
-            task.cancel()
         for leaf in self.leafs.values():
             leaf.http.close_all()
         self.store.http.close_all()
