--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -127,6 +127,7 @@
         self.items, self.events, self.leases = {}, [], {}
         self.revision, self.last_lease, self.era = 10, 100, 1
         self.changed = asyncio.Event()
+        self.cut_watch_after_s = None  # (least, most) time after which a waiting watch is cut
 
     def notify(self):
         self.changed.set()
@@ -199,13 +200,17 @@
         if path == "/kv-watch":
             after = int(fields["after"])
             until = now() + int(fields["wait_ms"]) / 1000
+            cut_at = now() + (random.uniform(*self.cut_watch_after_s) if self.cut_watch_after_s
+                              else float("inf"))
             while True:
                 found = [e for e in self.events if e["revision"] > after
                          and e["key"].startswith(fields["path_prefix"])]
                 if found or now() >= until:
                     return 200, {"events": found, "store_revision": self.revision}
+                if now() >= cut_at:
+                    raise Drop()
                 try:
-                    await asyncio.wait_for(self.changed.wait(), until - now())
+                    await asyncio.wait_for(self.changed.wait(), min(until, cut_at) - now())
                 except asyncio.TimeoutError:
                     pass
         if path == "/kv-txn":
