--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -127,6 +127,8 @@
         self.items, self.events, self.leases = {}, [], {}
         self.revision, self.last_lease, self.era = 10, 100, 1
         self.changed = asyncio.Event()
+        self.kept, self.away = None, False
+        self.first_revision = 0  # before it, there is no history
         self.cut_watch_after_s = None  # (least, most) time after which a waiting watch is cut
 
     def notify(self):
@@ -134,7 +136,9 @@
         self.changed = asyncio.Event()
 
     def put(self, key, value, lease=0):
-        """A write of an operator or leaf; returns when it was acknowledged."""
+        """A write of an operator or leaf; returns when it was acknowledged, None if it wasn't."""
+        if self.away:
+            return None
         self.revision += 1
         created = self.items[key]["created_revision"] if key in self.items else self.revision
         item = {"key": key, "value": base64.b64encode(value).decode(), "revision": self.revision,
@@ -155,6 +159,24 @@
             self.notify()
         return now()
 
+    def copy(self):
+        """Takes the copy from which the store comes back in a drill."""
+        self.kept = (dict(self.items), dict(self.leases), self.revision, self.last_lease)
+
+    async def drill(self, away_s):
+        """The store is away for a moment and comes back from its copy, in a new era."""
+        self.away = True
+        for writer in list(self.http.writers):
+            writer.close()
+        await asyncio.sleep(away_s)
+        items, leases, self.revision, self.last_lease = self.kept
+        self.items = dict(items)
+        self.leases = {lease: (ttl, now() + ttl / 1000) for lease, (ttl, _) in leases.items()}
+        self.events, self.first_revision = [], self.revision
+        self.era += 1
+        self.away = False
+        self.notify()
+
     def end_lease(self, lease):
         self.leases.pop(lease, None)
         for key in [k for k, item in self.items.items() if item["lease"] == lease]:
@@ -187,6 +209,8 @@
         return status, headers, json.dumps(body).encode()
 
     async def answer(self, request):
+        if self.away:
+            raise Drop()
         path, _, query = request["target"].partition("?")
         fields = dict(part.partition("=")[::2] for part in query.split("&") if part)
         from urllib.parse import unquote
@@ -203,6 +227,8 @@
             cut_at = now() + (random.uniform(*self.cut_watch_after_s) if self.cut_watch_after_s
                               else float("inf"))
             while True:
+                if self.away or after < self.first_revision or after > self.revision:
+                    return 410, {}
                 found = [e for e in self.events if e["revision"] > after
                          and e["key"].startswith(fields["path_prefix"])]
                 if found or now() >= until:
