--- a/review/stand_ins_3.py
+++ b/review/stand_ins_3.py
@@ -496,6 +496,14 @@
         self.network = f"127.{pid % 200 + 20}.{pid // 200 % 250}"
         self.store = Store(f"{self.network}.1", 8229)
         self.leafs, self.nodes, self.tasks = {}, [], []
+        self.longest_stall_s = 0.0
+
+    async def watch_stalls(self):
+        """Notes the longest time for which the stand-ins themselves stood still."""
+        while True:
+            begun = now()
+            await asyncio.sleep(0.02)
+            self.longest_stall_s = max(self.longest_stall_s, now() - begun - 0.02)
 
     def spawn(self, coroutine):
         task = asyncio.ensure_future(coroutine)
