Write one line before a process ends by itself

installCrashLog writes one line in the log's format for a failed assertion of Boost (condition, file and line), an uncaught exception, a failed allocation and fatal signals. It neither allocates nor blocks: the line is built in a fixed buffer, written only if the pipe has room, and the signal handler has a stack of its own. Boost's assertions reach it through the handler that the library has for this; they stay on, and the process ends as before.

base_test "A process that ends by itself says why in one line" plays seven ends in child processes; on the code before there was no such line.

--- a/gooseberrymoor/logging/pipe_appender.cpp
+++ b/gooseberrymoor/logging/pipe_appender.cpp
@@ -1,9 +1,7 @@
 #include "gooseberrymoor/logging/pipe_appender.h"
 
-#include <poll.h>
-#include <unistd.h>
+#include "gooseberrymoor/base/nonblocking_write.h"
 
-#include <climits>
 #include <string>
 
 namespace gooseberrymoor {
@@ -19,21 +17,10 @@
     if (m_dropped > m_reported)
         text = "event=lines_dropped count=" + std::to_string(m_dropped - m_reported) + "\n";
     text += formatEvent(event);
-    if (writeLine(text))
+    if (writeWithoutBlocking(m_descriptor, text))
         m_reported = m_dropped;
     else
         ++m_dropped;
 }
 
-// A write of up to PIPE_BUF bytes to a pipe that polls as writable does not block.
-bool pipe_appender::writeLine(const std::string &line) const
-{
-    if (line.size() > PIPE_BUF)
-        return false;
-    pollfd output { m_descriptor, POLLOUT, 0 };
-    if (::poll(&output, 1, 0) != 1 || (output.revents & POLLOUT) == 0)
-        return false;
-    return ::write(m_descriptor, line.data(), line.size()) == static_cast<ssize_t>(line.size());
-}
-
 } // namespace gooseberrymoor
--- a/gooseberrymoor/logging/pipe_appender.h
+++ b/gooseberrymoor/logging/pipe_appender.h
@@ -25,8 +25,6 @@
     void append(const log4cplus::spi::InternalLoggingEvent &event) override;
 
 private:
-    bool writeLine(const std::string &line) const;
-
     int m_descriptor;
     std::uint64_t m_dropped = 0;
     std::uint64_t m_reported = 0; // dropped lines that were reported
--- a/gooseberrymoor/node/daemon/main.cpp
+++ b/gooseberrymoor/node/daemon/main.cpp
@@ -1,3 +1,4 @@
+#include "gooseberrymoor/base/crash_log.h"
 #include "gooseberrymoor/base/task.h"
 #include "gooseberrymoor/logging/log4cplus_event_log.h"
 #include "gooseberrymoor/node/node.h"
@@ -68,5 +69,6 @@
         return 0;
     }
     std::signal(SIGPIPE, SIG_IGN);
+    gooseberrymoor::installCrashLog(settings->name);
     return runNode(*settings);
 }
