Read a target's chunked reply without handing the parser too few bytes

What callers saw: a target that broke off an empty chunked reply after the line of its last chunk ended the node's process, and all requests under way on it went unanswered (LOST).

Cause: once Beast's parser has seen the line of the last chunk, it asserts that its next call has at least 5 bytes. http_connection parsed what came with the header and then let async_read_some parse the same 3 or 4 bytes again, before anything new had arrived.

Why this works: incremental_parser doesn't parse an unchanged buffer again, and gives a partial chunk header to the parser only with 5 bytes or more. No message can end with fewer, so nothing is held back that could be complete.

--- a/gooseberrymoor/http/http_connection.cpp
+++ b/gooseberrymoor/http/http_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrymoor/http/byte_reservation.h"
 #include "gooseberrymoor/http/http_headers.h"
+#include "gooseberrymoor/http/message_reader.h"
 #include "gooseberrymoor/http/operation_deadline.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -21,6 +22,7 @@
 
 namespace beast = boost::beast;
 using tcp = asio::ip::tcp;
+using response_parser = beast::http::response_parser<beast::http::string_body>;
 
 // Bytes received and not parsed yet. Bounds what no other limit does, such as a chunk's extensions.
 constexpr std::size_t max_buffered_bytes = 32ULL * 1024;
@@ -89,19 +91,6 @@
     return reply;
 }
 
-// Parses the part of the body that was received with the header, which mostly is all of it.
-boost::system::error_code
-parseBuffered(beast::http::response_parser<beast::http::string_body> &parser,
-              beast::flat_buffer &buffer)
-{
-    boost::system::error_code error;
-    if (parser.is_done() || buffer.size() == 0)
-        return error;
-    parser.eager(true);
-    buffer.consume(parser.put(buffer.data(), error));
-    return error == beast::http::error::need_more ? boost::system::error_code() : error;
-}
-
 } // namespace
 
 struct http_connection::implementation
@@ -183,14 +172,12 @@
 {
     auto &[socket, limits, buffer, host] = *m_implementation;
     for (unsigned interim = 0; interim <= max_interim_replies; ++interim) {
-        beast::http::response_parser<beast::http::string_body> parser;
+        incremental_parser<response_parser> incremental;
+        response_parser &parser = incremental.get();
         parser.header_limit(limits.headerBytes);
         parser.body_limit(limits.bodyBytes);
-        const auto [headerError, headerSize]
-            = co_await beast::http::async_read_header(socket, buffer, parser, as_result);
-        if (headerError)
-            co_return tl::unexpected(
-                makeFailure(verdict::may_have_run, limit.hasPassed(), headerError));
+        if (const auto error = co_await readHeader(socket, buffer, incremental))
+            co_return tl::unexpected(makeFailure(verdict::may_have_run, limit.hasPassed(), error));
         const unsigned status = parser.get().result_int();
         if (!isValidStatus(status))
             co_return tl::unexpected(http_failure { verdict::may_have_run, false,
@@ -199,12 +186,9 @@
             continue;
         const auto reservation
             = std::make_shared<byte_reservation>(limits.bodyBudget, limits.freeBodyBytes);
-        if (const auto error = parseBuffered(parser, buffer))
-            co_return tl::unexpected(makeFailure(verdict::may_have_run, false, error));
-        while (!parser.is_done()) {
-            const auto [error, size]
-                = co_await beast::http::async_read_some(socket, buffer, parser, as_result);
-            if (error)
+        parser.eager(true);
+        while (!incremental.isDone()) {
+            if (const auto error = co_await readSome(socket, buffer, incremental))
                 co_return tl::unexpected(
                     makeFailure(verdict::may_have_run, limit.hasPassed(), error));
             if (!reservation->growTo(memoryOf(parser.get().body())))
--- /dev/null
+++ b/gooseberrymoor/http/message_reader.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "gooseberrymoor/base/net.h"
+#include "gooseberrymoor/http/incremental_parser.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+namespace gooseberrymoor {
+
+// Receives once from `socket` and appends to `buffer`. Returns `buffer_overflow` if that is full,
+// and `eof` if the other side has closed the connection.
+asio::awaitable<boost::system::error_code> receiveInto(asio::ip::tcp::socket &socket,
+                                                       boost::beast::flat_buffer &buffer);
+
+// Parses what `buffer` holds of a message and, if that is not enough to get further, receives once
+// from `socket` and parses that. Returns an error if the message is malformed or broken off, or
+// `end_of_stream` if the connection ended before it. The arguments must outlive the task.
+template <typename Parser>
+asio::awaitable<boost::system::error_code> readSome(asio::ip::tcp::socket &socket,
+                                                    boost::beast::flat_buffer &buffer,
+                                                    incremental_parser<Parser> &parser)
+{
+    boost::system::error_code error = parser.parse(buffer);
+    if (error != boost::beast::http::error::need_more)
+        co_return error;
+    error = co_await receiveInto(socket, buffer);
+    if (error == asio::error::eof)
+        co_return parser.parseEnd();
+    if (error)
+        co_return error;
+    error = parser.parse(buffer);
+    co_return error == boost::beast::http::error::need_more ? boost::system::error_code() : error;
+}
+
+// Reads the header of a message and none of its body. For the rest see `readSome`.
+template <typename Parser>
+asio::awaitable<boost::system::error_code> readHeader(asio::ip::tcp::socket &socket,
+                                                      boost::beast::flat_buffer &buffer,
+                                                      incremental_parser<Parser> &parser)
+{
+    parser.get().eager(false);
+    while (!parser.isHeaderDone()) {
+        if (const auto error = co_await readSome(socket, buffer, parser))
+            co_return error;
+    }
+    co_return boost::system::error_code();
+}
+
+} // namespace gooseberrymoor
