Read a caller's chunked request without handing the parser too few bytes

What callers saw: a valid chunked request with an empty body whose end came in pieces ended the node's process, and all requests under way on it went unanswered (LOST).

Why this works: http_server reads by readSome and incremental_parser, which gives a partial chunk header to the parser only with 5 bytes or more. All ports that serve HTTP share it.

--- a/gooseberrymoor/http/http_server.cpp
+++ b/gooseberrymoor/http/http_server.cpp
@@ -8,6 +8,7 @@
 #include "gooseberrymoor/http/http_body_source.h"
 #include "gooseberrymoor/http/http_handler.h"
 #include "gooseberrymoor/http/http_headers.h"
+#include "gooseberrymoor/http/message_reader.h"
 #include "gooseberrymoor/http/operation_deadline.h"
 #include "gooseberrymoor/http/read_timeout.h"
 
@@ -25,6 +26,7 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
+using request_parser = incremental_parser<http::request_parser<http::string_body>>;
 using namespace asio::experimental::awaitable_operators;
 
 constexpr duration accept_retry_delay {
@@ -99,6 +101,18 @@
     }
 }
 
+// Reads one request, header and body.
+asio::awaitable<boost::system::error_code>
+readWhole(tcp::socket &socket, beast::flat_buffer &buffer, request_parser &parser)
+{
+    parser.get().eager(true);
+    while (!parser.isDone()) {
+        if (const auto error = co_await readSome(socket, buffer, parser))
+            co_return error;
+    }
+    co_return boost::system::error_code();
+}
+
 bool isEndOfConnection(const boost::system::error_code &error)
 {
     return error == http::error::end_of_stream || error == asio::error::connection_reset
@@ -119,13 +133,13 @@
 {
     tcp::socket &socket;
     const beast::flat_buffer &buffer;
-    const http::request_parser<http::string_body> &parser;
+    const request_parser &parser;
 
     // Whether any byte of a request has been received, also if it has not been read yet.
     bool hasRequest() const
     {
         boost::system::error_code ignored;
-        return buffer.size() > 0 || parser.got_some() || socket.available(ignored) > 0;
+        return buffer.size() > 0 || parser.get().got_some() || socket.available(ignored) > 0;
     }
 };
 
@@ -240,9 +254,9 @@
                                                                         beast::flat_buffer &buffer)
 {
     received_request result;
-    http::request_parser<http::string_body> parser;
-    parser.body_limit(m_limits.bodyBytes);
-    parser.header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
+    request_parser parser;
+    parser.get().body_limit(m_limits.bodyBytes);
+    parser.get().header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
     const idle_connection idle { socket, buffer, parser };
     m_idle.insert(&idle);
     if (buffer.size() == 0) {
@@ -257,8 +271,7 @@
         const auto timeout
             = m_limits.headerTimeout > duration(0) ? m_limits.headerTimeout : no_limit;
         read_timeout limit(socket, millis_clock::now() + timeout);
-        const auto [readError, size] = co_await http::async_read(socket, buffer, parser, as_result);
-        error = readError;
+        error = co_await readWhole(socket, buffer, parser);
         isTooSlow = limit.hasPassed();
     }
     m_idle.erase(&idle);
@@ -273,7 +286,7 @@
     else if (error)
         result.requestError = error_kind::bad_request;
     if (!error)
-        result.message = parser.release();
+        result.message = parser.get().release();
     co_return result;
 }
 
