Read a chunked stream of lines without handing the parser too few bytes

Evidence: line_stream_pieces_test on the code before aborts at the assertion of basic_parser.ipp:702. Ruled out: the readers of peers' frames and of the platform's store, which share no state with this one; the latter reads replies by http_connection.

Lines are still given as soon as they are whole, which the test checks before the stream ends.

--- a/gooseberrymoor/http/http_line_stream.cpp
+++ b/gooseberrymoor/http/http_line_stream.cpp
@@ -1,5 +1,6 @@
 #include "gooseberrymoor/http/http_line_stream.h"
 
+#include "gooseberrymoor/http/message_reader.h"
 #include "gooseberrymoor/http/operation_deadline.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -35,7 +36,7 @@
     std::optional<std::string> takeLine()
     {
         const std::size_t end = text.find('\n');
-        if (end == std::string::npos && (!parser.is_done() || text.empty()))
+        if (end == std::string::npos && (!parser.isDone() || text.empty()))
             return std::nullopt;
         std::string line = text.substr(0, end);
         text.erase(0, end == std::string::npos ? end : end + 1);
@@ -44,14 +45,14 @@
 
     tcp::socket socket;
     beast::flat_buffer buffer;
-    beast::http::response_parser<beast::http::buffer_body> parser;
+    incremental_parser<beast::http::response_parser<beast::http::buffer_body>> parser;
     std::string text;
 };
 
 http_line_stream::http_line_stream(asio::any_io_executor executor)
     : m_implementation(std::make_unique<implementation>(std::move(executor)))
 {
-    m_implementation->parser.body_limit(boost::none);
+    m_implementation->parser.get().body_limit(boost::none);
 }
 
 http_line_stream::~http_line_stream() = default;
@@ -77,11 +78,9 @@
         = co_await beast::http::async_write(socket, message, as_result);
     if (writeError)
         co_return tl::unexpected(makeFailure(verdict::may_have_run, limit.hasPassed(), writeError));
-    const auto [readError, read]
-        = co_await beast::http::async_read_header(socket, buffer, parser, as_result);
-    if (readError)
-        co_return tl::unexpected(makeFailure(verdict::may_have_run, limit.hasPassed(), readError));
-    co_return parser.get().result_int();
+    if (const auto error = co_await readHeader(socket, buffer, parser))
+        co_return tl::unexpected(makeFailure(verdict::may_have_run, limit.hasPassed(), error));
+    co_return parser.message().result_int();
 }
 
 asio::awaitable<tl::expected<std::optional<std::string>, http_failure>>
@@ -93,15 +92,15 @@
     while (true) {
         if (auto line = m_implementation->takeLine())
             co_return line;
-        if (parser.is_done())
+        if (parser.isDone())
             co_return std::nullopt;
-        parser.get().body().data = chunk.data();
-        parser.get().body().size = chunk.size();
-        const auto [error, read]
-            = co_await beast::http::async_read_some(socket, buffer, parser, as_result);
+        auto &body = parser.message().body();
+        body.data = chunk.data();
+        body.size = chunk.size();
+        const auto error = co_await readSome(socket, buffer, parser);
         if (error && error != beast::http::error::need_buffer)
             co_return tl::unexpected(makeFailure(verdict::may_have_run, limit.hasPassed(), error));
-        text.append(chunk.data(), chunk.size() - parser.get().body().size);
+        text.append(chunk.data(), chunk.size() - body.size);
         if (text.size() > max_line_bytes) {
             const http_failure tooLong { verdict::may_have_run, false, "line too long" };
             co_return tl::unexpected(tooLong);
