Reject a request whose length is in doubt

Cause: the server took the parser's word for where a body ends, and the parser counts a request in a coding that it doesn't know, without a length, as one without a body.

Why this works: message_framing decides from the header fields alone, in one place for all ports, whether a body is told by a length, by chunks or not for sure; request_reader asks it before it reads a body and rejects also what the parser would read in another way. The rejection closes the connection, and nothing after it is read.

http_server.cpp did two jobs: how requests are read is request_reader now.

--- a/gooseberrymoor/entry/entry_handler.cpp
+++ b/gooseberrymoor/entry/entry_handler.cpp
@@ -42,9 +42,9 @@
     co_return errorReply(unknownPathError());
 }
 
-http_reply entry_handler::refuse(error_kind kind)
+http_reply entry_handler::refuse(error_kind kind, std::string detail)
 {
-    return errorReply({ kind, verdict::not_run, "" });
+    return errorReply({ kind, verdict::not_run, std::move(detail) });
 }
 
 asio::awaitable<http_reply> entry_handler::handleService(http_request request, std::string path)
--- a/gooseberrymoor/entry/entry_handler.h
+++ b/gooseberrymoor/entry/entry_handler.h
@@ -29,7 +29,7 @@
                   counters &events);
 
     asio::awaitable<http_reply> handle(http_request request) override;
-    http_reply refuse(error_kind kind) override;
+    http_reply refuse(error_kind kind, std::string detail) override;
 
     // Latency of answered queries.
     const latency_histogram &queryLatency() const { return m_queryLatency; }
--- a/gooseberrymoor/http/error_reply.cpp
+++ b/gooseberrymoor/http/error_reply.cpp
@@ -20,6 +20,8 @@
         return 431;
     case error_kind::request_too_slow:
         return 408;
+    case error_kind::not_implemented:
+        return 501;
     case error_kind::deadline_passed:
     case error_kind::timed_out:
         return 504;
--- a/gooseberrymoor/http/http_handler.cpp
+++ b/gooseberrymoor/http/http_handler.cpp
@@ -4,9 +4,9 @@
 
 namespace gooseberrymoor {
 
-http_reply http_handler::refuse(error_kind kind)
+http_reply http_handler::refuse(error_kind kind, std::string detail)
 {
-    return toReply({ kind, verdict::not_run, "" });
+    return toReply({ kind, verdict::not_run, std::move(detail) });
 }
 
 } // namespace gooseberrymoor
--- a/gooseberrymoor/http/http_server.cpp
+++ b/gooseberrymoor/http/http_server.cpp
@@ -7,14 +7,12 @@
 #include "gooseberrymoor/http/disconnect_monitor.h"
 #include "gooseberrymoor/http/http_body_source.h"
 #include "gooseberrymoor/http/http_handler.h"
-#include "gooseberrymoor/http/http_headers.h"
-#include "gooseberrymoor/http/message_reader.h"
 #include "gooseberrymoor/http/operation_deadline.h"
-#include "gooseberrymoor/http/read_timeout.h"
+#include "gooseberrymoor/http/received_request.h"
+#include "gooseberrymoor/http/request_reader.h"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
 #include <array>
@@ -23,10 +21,8 @@
 
 namespace {
 
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
-using request_parser = incremental_parser<http::request_parser<http::string_body>>;
 using namespace asio::experimental::awaitable_operators;
 
 constexpr duration accept_retry_delay {
@@ -36,7 +32,6 @@
 constexpr duration reply_write_timeout { 20'000 }; // for clients that do not read
 constexpr duration linger_timeout { 500 };
 constexpr duration stopping_idle_timeout { 100 }; // of connections accepted just before the stop
-constexpr unsigned http_version_1_1 = 11;
 
 http::response<http::string_body> toMessage(http_reply reply, unsigned version, bool keepAlive)
 {
@@ -66,26 +61,6 @@
     }
 }
 
-// The header fields of `message` without Host, hop-by-hop and framing fields.
-http_headers endToEndHeaders(const http::request<http::string_body> &message)
-{
-    http_headers headers;
-    for (const auto &field : message) {
-        if (field.name() != http::field::host && !isHopByHopHeader(field.name_string()))
-            headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    }
-    return headers;
-}
-
-http_request toRequest(http::request<http::string_body> message)
-{
-    http_request request(std::string(message.method_string()), std::string(message.target()),
-                         std::move(message.body()));
-    request.host = std::string(message[http::field::host]);
-    request.headers = endToEndHeaders(message);
-    return request;
-}
-
 // Shuts down the sending side and discards what the client still sends. Closing with unread bytes
 // would reset the connection, and the client could lose the last reply.
 asio::awaitable<void> lingerBeforeClose(tcp::socket &socket)
@@ -101,46 +76,25 @@
     }
 }
 
-// Reads one request, header and body.
-asio::awaitable<boost::system::error_code>
-readWhole(tcp::socket &socket, beast::flat_buffer &buffer, request_parser &parser)
-{
-    parser.get().eager(true);
-    while (!parser.isDone()) {
-        if (const auto error = co_await readSome(socket, buffer, parser))
-            co_return error;
-    }
-    co_return boost::system::error_code();
-}
-
-bool isEndOfConnection(const boost::system::error_code &error)
-{
-    return error == http::error::end_of_stream || error == asio::error::connection_reset
-        || error == asio::error::operation_aborted || error == asio::error::eof
-        || error == asio::error::bad_descriptor;
-}
-
 } // namespace
 
-struct http_server::received_request
-{
-    http::request<http::string_body> message;
-    error_kind requestError = error_kind::none; // the client gets an error reply
-    bool isConnectionDone = false; // close without a reply
-};
-
-struct http_server::idle_connection
+// Lists a reader among those that are reading, for as long as it exists. Shares ownership of the
+// list: when the executor is destroyed, unfinished tasks can outlive the server.
+class http_server::reading_entry
 {
-    tcp::socket &socket;
-    const beast::flat_buffer &buffer;
-    const request_parser &parser;
-
-    // Whether any byte of a request has been received, also if it has not been read yet.
-    bool hasRequest() const
+public:
+    reading_entry(std::shared_ptr<reader_set> reading, request_reader &reader)
+        : m_reading(std::move(reading)), m_reader(&reader)
     {
-        boost::system::error_code ignored;
-        return buffer.size() > 0 || parser.get().got_some() || socket.available(ignored) > 0;
+        m_reading->insert(m_reader);
     }
+    ~reading_entry() { m_reading->erase(m_reader); }
+    reading_entry(const reading_entry &) = delete;
+    reading_entry &operator=(const reading_entry &) = delete;
+
+private:
+    std::shared_ptr<reader_set> m_reading;
+    request_reader *m_reader;
 };
 
 http_server::http_server(asio::any_io_executor executor, http_handler &handler, counters &events,
@@ -181,10 +135,8 @@
     acceptPending(); // closing the acceptor would reset them, although requests may have been sent
     boost::system::error_code ignored;
     m_acceptor.close(ignored);
-    for (const idle_connection *idle : m_idle) {
-        if (!idle->hasRequest())
-            idle->socket.close(ignored);
-    }
+    for (request_reader *reader : *m_reading)
+        reader->closeIfIdle();
 }
 
 // Accepts the connections that clients have already opened.
@@ -250,79 +202,43 @@
     return m_limits.idleTimeout > duration(0) ? m_limits.idleTimeout : no_limit;
 }
 
-asio::awaitable<http_server::received_request> http_server::readRequest(tcp::socket &socket,
-                                                                        beast::flat_buffer &buffer)
+asio::awaitable<received_request> http_server::readRequest(request_reader &reader)
 {
-    received_request result;
-    request_parser parser;
-    parser.get().body_limit(m_limits.bodyBytes);
-    parser.get().header_limit(static_cast<std::uint32_t>(m_limits.headerBytes));
-    const idle_connection idle { socket, buffer, parser };
-    m_idle.insert(&idle);
-    if (buffer.size() == 0) {
-        operation_deadline limit(socket, millis_clock::now() + idleTimeout());
-        const auto [idleError] = co_await socket.async_wait(tcp::socket::wait_read, as_result);
-        result.isConnectionDone = idleError || limit.hasPassed();
-    }
-    boost::system::error_code error;
-    bool isTooSlow = false;
-    if (!result.isConnectionDone) {
-        // Bounds the time for the header and the body together.
-        const auto timeout
-            = m_limits.headerTimeout > duration(0) ? m_limits.headerTimeout : no_limit;
-        read_timeout limit(socket, millis_clock::now() + timeout);
-        error = co_await readWhole(socket, buffer, parser);
-        isTooSlow = limit.hasPassed();
-    }
-    m_idle.erase(&idle);
-    if (isTooSlow)
-        result.requestError = error_kind::request_too_slow;
-    else if (error == http::error::body_limit)
-        result.requestError = error_kind::too_large;
-    else if (error == http::error::header_limit)
-        result.requestError = error_kind::header_too_large;
-    else if (isEndOfConnection(error))
-        result.isConnectionDone = true;
-    else if (error)
-        result.requestError = error_kind::bad_request;
-    if (!error)
-        result.message = parser.get().release();
-    co_return result;
+    const reading_entry entry(m_reading, reader);
+    received_request request = co_await reader.read(m_limits, idleTimeout());
+    co_return request;
 }
 
 asio::awaitable<void> http_server::serveRequests(tcp::socket &socket)
 {
-    beast::flat_buffer buffer;
+    request_reader reader(socket);
     bool keepAlive = true;
     bool isFirst = true;
     while (keepAlive) {
-        received_request read = co_await readRequest(socket, buffer);
+        received_request read = co_await readRequest(reader);
         if (read.isConnectionDone)
             co_return;
         http_reply reply;
-        unsigned version = http_version_1_1;
-        if (read.requestError != error_kind::none) {
-            m_events.add(rejectionCounter(read.requestError));
-            reply = m_handler.refuse(read.requestError);
+        if (read.error != error_kind::none) {
+            m_events.add(rejectionCounter(read.error));
+            reply = m_handler.refuse(read.error, std::move(read.detail));
             keepAlive = false;
         } else {
-            version = read.message.version();
-            keepAlive = read.message.keep_alive();
-            http_request request = toRequest(std::move(read.message));
-            request.firstOnConnection = isFirst;
-            request.abandoned = std::make_shared<cancellation>();
-            const disconnect_monitor monitor(socket, request.abandoned);
-            reply = co_await m_handler.handle(std::move(request));
+            keepAlive = read.keepsAlive;
+            read.request.firstOnConnection = isFirst;
+            read.request.abandoned = std::make_shared<cancellation>();
+            const disconnect_monitor monitor(socket, read.request.abandoned);
+            reply = co_await m_handler.handle(std::move(read.request));
         }
         isFirst = false;
         keepAlive = keepAlive && !m_draining && !reply.closeAfter;
         if (reply.bodySource) {
-            if (!co_await sendChunkedBody(socket, std::move(reply), version, keepAlive))
+            if (!co_await sendChunkedBody(socket, std::move(reply), read.version, keepAlive))
                 co_return;
             continue;
         }
         const auto reservation = reply.reservation; // the body occupies memory until it is sent
-        const auto message = toMessage(std::move(reply), version, keepAlive);
+        const auto message = toMessage(std::move(reply), read.version, keepAlive);
         operation_deadline limit(socket, millis_clock::now() + reply_write_timeout);
         const auto [writeError, written] = co_await http::async_write(socket, message, as_result);
         if (writeError)
--- a/gooseberrymoor/http/http_server.h
+++ b/gooseberrymoor/http/http_server.h
@@ -5,7 +5,6 @@
 #include "gooseberrymoor/http/http_limits.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <tl/expected.hpp>
 
 #include <cstddef>
@@ -17,7 +16,9 @@
 
 class counters;
 class http_handler;
+class request_reader;
 struct http_reply;
+struct received_request;
 
 // HTTP/1.1 server on one address. Each connection has one task, which processes one request at a
 // time. Not thread-safe. Handler and counters must outlive the executor's last task.
@@ -46,17 +47,16 @@
     std::size_t openConnections() const { return m_open; }
 
 private:
-    struct idle_connection; // waiting for its next request, or receiving it
-    struct received_request; // a request, or why it could not be read
+    class reading_entry;
+    using reader_set = std::set<request_reader *>;
 
     asio::awaitable<void> acceptLoop();
     void acceptPending();
     void startServing(asio::ip::tcp::socket socket);
     duration idleTimeout() const;
     asio::awaitable<void> serve(asio::ip::tcp::socket socket);
+    asio::awaitable<received_request> readRequest(request_reader &reader);
     asio::awaitable<void> serveRequests(asio::ip::tcp::socket &socket);
-    asio::awaitable<received_request> readRequest(asio::ip::tcp::socket &socket,
-                                                  boost::beast::flat_buffer &buffer);
     asio::awaitable<bool> sendChunkedBody(boost::asio::ip::tcp::socket &socket, http_reply reply,
                                           unsigned version, bool keepAlive);
 
@@ -66,7 +66,8 @@
     http_limits m_limits;
     asio::ip::tcp::acceptor m_acceptor;
     std::size_t m_open = 0;
-    std::set<const idle_connection *> m_idle;
+    // They wait for their next request, or receive it.
+    std::shared_ptr<reader_set> m_reading = std::make_shared<reader_set>();
     bool m_draining = false;
     bool m_stopping = false;
 };
--- a/testing/platform_stand_in/leaf_stand_in.cpp
+++ b/testing/platform_stand_in/leaf_stand_in.cpp
@@ -76,7 +76,7 @@
     m_leaving = false;
 }
 
-http_reply leaf_stand_in::refuse(error_kind)
+http_reply leaf_stand_in::refuse(error_kind, std::string)
 {
     return notExecuted(503);
 }
--- a/testing/platform_stand_in/leaf_stand_in.h
+++ b/testing/platform_stand_in/leaf_stand_in.h
@@ -27,7 +27,7 @@
                   std::string body);
 
     asio::awaitable<http_reply> handle(http_request request) override;
-    http_reply refuse(error_kind kind) override;
+    http_reply refuse(error_kind kind, std::string detail) override;
 
     void setFaultMode(leaf_fault_mode mode) { m_faultMode = mode; }
     void setLatency(duration latency) { m_latency = latency; }
--- a/testing/platform_stand_in/platform_store_stand_in.cpp
+++ b/testing/platform_stand_in/platform_store_stand_in.cpp
@@ -78,7 +78,7 @@
     co_return reply;
 }
 
-http_reply platform_store_stand_in::refuse(error_kind)
+http_reply platform_store_stand_in::refuse(error_kind, std::string)
 {
     return withEra({ 503, "{}" });
 }
--- a/testing/platform_stand_in/platform_store_stand_in.h
+++ b/testing/platform_stand_in/platform_store_stand_in.h
@@ -25,7 +25,7 @@
     explicit platform_store_stand_in(asio::any_io_executor executor);
 
     asio::awaitable<http_reply> handle(http_request request) override;
-    http_reply refuse(error_kind kind) override;
+    http_reply refuse(error_kind kind, std::string detail) override;
 
     // Change the state and wake waiting watches.
     void put(const std::string &key, const std::string &value);
--- a/testing/store_stand_in/main.cpp
+++ b/testing/store_stand_in/main.cpp
@@ -44,7 +44,10 @@
     {
         co_return m_store.handleControl(request);
     }
-    http_reply refuse(error_kind kind) override { return m_store.refuse(kind); }
+    http_reply refuse(error_kind kind, std::string detail) override
+    {
+        return m_store.refuse(kind, std::move(detail));
+    }
 
 private:
     store_handler &m_store;
--- a/testing/store_stand_in/store_handler.cpp
+++ b/testing/store_stand_in/store_handler.cpp
@@ -89,7 +89,7 @@
         co_return handleControl(request);
     const auto kind = gooseberrymoor::fromName<call_kind>(request.path);
     if (!kind)
-        co_return refuse(error_kind::bad_request);
+        co_return refuse(error_kind::bad_request, "");
     co_return co_await call(*kind, std::move(request.body));
 }
 
@@ -191,7 +191,7 @@
         return control(request.body);
     if (request.path == "/account")
         return http_reply(status_ok, statistics());
-    return refuse(error_kind::bad_request);
+    return refuse(error_kind::bad_request, "");
 }
 
 http_reply store_handler::control(const std::string &body)
--- a/testing/target_stand_in/target_handler.cpp
+++ b/testing/target_stand_in/target_handler.cpp
@@ -52,7 +52,7 @@
         co_return co_await handleCancel(std::move(request.body));
     if (request.path == "/health")
         co_return health();
-    co_return refuse(error_kind::bad_request);
+    co_return refuse(error_kind::bad_request, "");
 }
 
 bool target_handler::onConnectionOpened()
