Take a reply whose length is in doubt for no reply

Cause: http_connection took the parser's word for where a body ends. The parser reads a reply in an unknown coding to the end of its connection, takes chunks in HTTP/1.0, and has to be told that a reply to HEAD has no body.

Why this works: both readers of replies ask replyFraming, the same decision as for requests, after the header. A doubtful reply is a failure that may have run, and its connection is closed.

--- a/gooseberrymoor/http/http_connection.cpp
+++ b/gooseberrymoor/http/http_connection.cpp
@@ -15,6 +15,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
+#include <optional>
 
 namespace gooseberrymoor {
 
@@ -49,6 +50,22 @@
     return { verdict::may_have_run, false, std::move(reason), true };
 }
 
+http_failure malformed(std::string reason)
+{
+    return { verdict::may_have_run, false, std::move(reason) };
+}
+
+// Why the length of a reply can't be told for sure; nullopt if it can. `parser` has its header.
+std::optional<std::string> framingFaultOf(const response_parser &parser, bool hasNoBody)
+{
+    const message_framing framing = replyFraming(framingFieldsOf(parser.get()), hasNoBody);
+    if (framing.kind == body_framing::refused)
+        return "reply of doubtful length: " + std::string(nameOf(framing.fault));
+    if (!hasNoBody && !isReadAs(framing, parser))
+        return "reply of doubtful length";
+    return std::nullopt;
+}
+
 // Whether a reply may have `status`. A reply with another one is malformed, and where it ends can't
 // be told. No request asks for a switch of protocols.
 bool isValidStatus(unsigned status)
@@ -161,29 +178,32 @@
         const verdict outcome = written == 0 ? verdict::not_run : verdict::may_have_run;
         co_return tl::unexpected(makeFailure(outcome, limit.hasPassed(), writeError));
     }
-    auto reply = co_await readReply(limit);
+    auto reply = co_await readReply(request.method, limit);
     if (!reply)
         close();
     co_return reply;
 }
 
 asio::awaitable<tl::expected<http_reply, http_failure>>
-http_connection::readReply(const operation_deadline &limit)
+http_connection::readReply(std::string method, const operation_deadline &limit)
 {
     auto &[socket, limits, buffer, host] = *m_implementation;
     for (unsigned interim = 0; interim <= max_interim_replies; ++interim) {
         incremental_parser<response_parser> incremental;
         response_parser &parser = incremental.get();
+        parser.skip(method == method_head);
         parser.header_limit(limits.headerBytes);
         parser.body_limit(limits.bodyBytes);
         if (const auto error = co_await readHeader(socket, buffer, incremental))
             co_return tl::unexpected(makeFailure(verdict::may_have_run, limit.hasPassed(), error));
         const unsigned status = parser.get().result_int();
         if (!isValidStatus(status))
-            co_return tl::unexpected(http_failure { verdict::may_have_run, false,
-                                                    "invalid status " + std::to_string(status) });
+            co_return tl::unexpected(malformed("invalid status " + std::to_string(status)));
         if (status < first_final_status)
             continue;
+        const bool hasNoBody = isReplyWithoutBody(method, status);
+        if (const auto fault = framingFaultOf(parser, hasNoBody))
+            co_return tl::unexpected(malformed(*fault));
         const auto reservation
             = std::make_shared<byte_reservation>(limits.bodyBudget, limits.freeBodyBytes);
         parser.eager(true);
@@ -194,7 +214,7 @@
             if (!reservation->growTo(memoryOf(parser.get().body())))
                 co_return tl::unexpected(tooLarge("no memory left for the reply"));
         }
-        const bool hasExplicitLength = parser.content_length() || parser.chunked();
+        const bool hasExplicitLength = hasNoBody || parser.content_length() || parser.chunked();
         http_reply reply = toReply(parser.release());
         reply.reservation = reservation;
         reply.hasTrailingBytes = buffer.size() > 0;
--- a/gooseberrymoor/http/http_connection.h
+++ b/gooseberrymoor/http/http_connection.h
@@ -10,6 +10,7 @@
 #include <tl/expected.hpp>
 
 #include <memory>
+#include <string>
 
 namespace gooseberrymoor {
 
@@ -29,8 +30,8 @@
     asio::awaitable<tl::expected<void, http_failure>> connect(endpoint server, time_point deadline);
 
     // Sends `request` and reads the reply; interim replies (1xx) are skipped. Closes the connection
-    // if sending or reading fails, or if the reply exceeds a limit or its status is not one of
-    // HTTP.
+    // if sending or reading fails, or if the reply exceeds a limit, its status is not one of HTTP,
+    // or its length is in doubt (see `replyFraming`).
     asio::awaitable<tl::expected<http_reply, http_failure>> exchange(http_request request,
                                                                      time_point deadline);
 
@@ -46,7 +47,7 @@
 
 private:
     asio::awaitable<tl::expected<http_reply, http_failure>>
-    readReply(const operation_deadline &limit);
+    readReply(std::string method, const operation_deadline &limit);
 
     struct implementation;
     std::unique_ptr<implementation> m_implementation;
--- a/gooseberrymoor/http/http_line_stream.cpp
+++ b/gooseberrymoor/http/http_line_stream.cpp
@@ -80,7 +80,15 @@
         co_return tl::unexpected(makeFailure(verdict::may_have_run, limit.hasPassed(), writeError));
     if (const auto error = co_await readHeader(socket, buffer, parser))
         co_return tl::unexpected(makeFailure(verdict::may_have_run, limit.hasPassed(), error));
-    co_return parser.message().result_int();
+    const unsigned status = parser.message().result_int();
+    const bool hasNoBody = isReplyWithoutBody(request.method, status);
+    const message_framing framing = replyFraming(framingFieldsOf(parser.message()), hasNoBody);
+    if (framing.kind == body_framing::refused) {
+        const http_failure failure { verdict::may_have_run, false,
+                                     std::string(nameOf(framing.fault)) };
+        co_return tl::unexpected(failure);
+    }
+    co_return status;
 }
 
 asio::awaitable<tl::expected<std::optional<std::string>, http_failure>>
--- a/gooseberrymoor/http/message_framing.cpp
+++ b/gooseberrymoor/http/message_framing.cpp
@@ -146,7 +146,7 @@
 
 bool isReplyWithoutBody(std::string_view method, unsigned status)
 {
-    return method == "HEAD" || status < first_final_status || status == status_no_content
+    return method == method_head || status < first_final_status || status == status_no_content
         || status == status_not_modified;
 }
 
--- a/gooseberrymoor/http/message_framing.h
+++ b/gooseberrymoor/http/message_framing.h
@@ -8,6 +8,9 @@
 
 namespace gooseberrymoor {
 
+// The method whose replies have no body.
+constexpr std::string_view method_head = "HEAD";
+
 // How the end of a message's body is found.
 enum class body_framing {
     no_body,
--- a/gooseberrymoor/http/reply_pieces_test.cpp
+++ b/gooseberrymoor/http/reply_pieces_test.cpp
@@ -1,10 +1,7 @@
-#include "gooseberrymoor/http/http_connection.h"
-#include "testing/scripted_peer.h"
+#include "testing/exchange_fixture.h"
 
-#include <boost/asio/detached.hpp>
 #include <doctest/doctest.h>
 
-#include <optional>
 #include <sstream>
 #include <string>
 
@@ -13,21 +10,10 @@
 namespace {
 
 const endpoint server_address { "127.0.0.1", 18091 };
-constexpr duration exchange_timeout { 5000 };
-
-using exchange_result = tl::expected<http_reply, http_failure>;
-
-// How a scripted reply ends.
-enum class reply_end {
-    stays_open,
-    closes,
-    resets,
-};
-
 constexpr std::string_view chunked_head
     = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX: y\r\n\r\n";
 
-std::string describe(const exchange_result &result)
+std::string describe(const exchange_fixture::result_type &result)
 {
     if (!result)
         return "failed";
@@ -39,57 +25,6 @@
     return text.str();
 }
 
-// A client connection of the product, and the server that it uses, which sends scripted replies.
-class exchange_fixture
-{
-public:
-    // Sends one request and answers it with `reply`. Uses the connection again where it can be.
-    exchange_result exchange(const pieces &reply, reply_end end = reply_end::stays_open)
-    {
-        if (!m_connection.isUsable())
-            connect();
-        std::optional<exchange_result> result;
-        asio::co_spawn(
-            m_context,
-            m_connection.exchange({ "GET", "/" }, millis_clock::now() + exchange_timeout),
-            [&](std::exception_ptr failure, exchange_result outcome) {
-                CHECK(!failure);
-                result = std::move(outcome);
-            });
-        REQUIRE(!m_server->receive().empty());
-        m_server->send(reply);
-        if (end == reply_end::closes)
-            m_server->close();
-        if (end == reply_end::resets)
-            m_server->reset();
-        REQUIRE(scripted_peer::runUntil(m_context, [&] { return result.has_value(); }));
-        return *result;
-    }
-
-    bool isOpen() const { return m_connection.isOpen(); }
-
-private:
-    void connect()
-    {
-        asio::co_spawn(
-            m_context, m_connection.connect(server_address, millis_clock::now() + exchange_timeout),
-            [](std::exception_ptr failure, const tl::expected<void, http_failure> &made) {
-                CHECK(!failure);
-                CHECK(made);
-            });
-        REQUIRE(scripted_peer::runUntil(m_context, [this] { return m_connection.isOpen(); }));
-        m_server.emplace(m_context, m_acceptor.accept());
-        m_server->settle();
-    }
-
-    asio::io_context m_context;
-    asio::ip::tcp::acceptor m_acceptor {
-        m_context, { asio::ip::make_address(server_address.address), server_address.port }
-    };
-    std::optional<scripted_peer> m_server;
-    http_connection m_connection { m_context.get_executor() };
-};
-
 } // namespace
 
 // Guards against processes that end by an assertion: the reader gave the HTTP parser the last chunk
@@ -141,7 +76,7 @@
         reply = "HTTP/1.1 200 OK\r\n\r\nhello";
         end = reply_end::closes;
     }
-    exchange_fixture client;
+    exchange_fixture client(server_address);
     const std::string whole = describe(client.exchange({ reply }, end));
     CHECK(whole.starts_with("20"));
     for (const pieces &cut : allCuts(reply)) {
@@ -177,9 +112,9 @@
     {
         reply = "HTTP/1.1 100 X\r\n\r\n" + head + "0\r\n\r\n";
     }
-    exchange_fixture client;
+    exchange_fixture client(server_address);
     const auto isLost = [&](const pieces &sent, reply_end end) {
-        const exchange_result result = client.exchange(sent, end);
+        const auto result = client.exchange(sent, end);
         return !result && result.error().outcome == verdict::may_have_run
             && !result.error().timedOut && !client.isOpen();
     };
