Don't forward the fields that Connection names

Cause: only a fixed list of fields was left out, in two copies, one for requests and one for replies. Both now leave out what Connection names too, by one function.

request_fields_test "Fields that apply to one connection" fails on the code before, for requests and for replies.

--- a/gooseberrymoor/http/http_connection.cpp
+++ b/gooseberrymoor/http/http_connection.cpp
@@ -1,7 +1,7 @@
 #include "gooseberrymoor/http/http_connection.h"
 
 #include "gooseberrymoor/http/byte_reservation.h"
-#include "gooseberrymoor/http/http_headers.h"
+#include "gooseberrymoor/http/end_to_end_headers.h"
 #include "gooseberrymoor/http/message_reader.h"
 #include "gooseberrymoor/http/operation_deadline.h"
 
@@ -97,12 +97,7 @@
 {
     http_reply reply(message.result_int(), std::move(message.body()),
                      std::string(message[beast::http::field::content_type]));
-    for (const auto &field : message) {
-        if (field.name() != beast::http::field::content_type
-            && !isHopByHopHeader(field.name_string()))
-            reply.headers.emplace_back(std::string(field.name_string()),
-                                       std::string(field.value()));
-    }
+    reply.headers = endToEndHeaders(message, beast::http::field::content_type);
     reply.closeAfter = !message.keep_alive();
     reply.keepAliveSeconds = parseKeepAliveTimeout(message[beast::http::field::keep_alive]);
     return reply;
--- a/gooseberrymoor/http/request_reader.cpp
+++ b/gooseberrymoor/http/request_reader.cpp
@@ -1,6 +1,6 @@
 #include "gooseberrymoor/http/request_reader.h"
 
-#include "gooseberrymoor/http/http_headers.h"
+#include "gooseberrymoor/http/end_to_end_headers.h"
 #include "gooseberrymoor/http/message_framing.h"
 #include "gooseberrymoor/http/message_reader.h"
 #include "gooseberrymoor/http/operation_deadline.h"
@@ -23,11 +23,7 @@
     http_request request(std::string(received.method_string()), std::string(received.target()),
                          std::move(received.body()));
     request.host = std::string(received[http::field::host]);
-    for (const auto &field : received) {
-        if (field.name() != http::field::host && !isHopByHopHeader(field.name_string()))
-            request.headers.emplace_back(std::string(field.name_string()),
-                                         std::string(field.value()));
-    }
+    request.headers = endToEndHeaders(received, http::field::host);
     return request;
 }
 
