Answer HEAD without a body

Cause: the server framed all replies alike. A reply to HEAD now ends with its header; Content-Length is that of the body which GET would get, where the node has it, and is left out otherwise.

request_fields_test "A HEAD request" fails on the code before.

--- a/gooseberrymoor/http/http_server.cpp
+++ b/gooseberrymoor/http/http_server.cpp
@@ -7,6 +7,7 @@
 #include "gooseberrymoor/http/disconnect_monitor.h"
 #include "gooseberrymoor/http/http_body_source.h"
 #include "gooseberrymoor/http/http_handler.h"
+#include "gooseberrymoor/http/message_framing.h"
 #include "gooseberrymoor/http/operation_deadline.h"
 #include "gooseberrymoor/http/received_request.h"
 #include "gooseberrymoor/http/request_reader.h"
@@ -33,7 +34,9 @@
 constexpr duration linger_timeout { 500 };
 constexpr duration stopping_idle_timeout { 100 }; // of connections accepted just before the stop
 
-http::response<http::string_body> toMessage(http_reply reply, unsigned version, bool keepAlive)
+// `isHead`: the reply is to a HEAD request and has no body. Its length is given if it is known.
+http::response<http::string_body> toMessage(http_reply reply, unsigned version, bool keepAlive,
+                                            bool isHead)
 {
     http::response<http::string_body> message(static_cast<http::status>(reply.status), version);
     if (!reply.contentType.empty())
@@ -43,6 +46,10 @@
     message.keep_alive(keepAlive && !reply.closeAfter);
     message.body() = std::move(reply.body);
     message.prepare_payload();
+    if (isHead && message.body().empty())
+        message.erase(http::field::content_length);
+    if (isHead)
+        message.body().clear();
     return message;
 }
 
@@ -219,6 +226,7 @@
         if (read.isConnectionDone)
             co_return;
         http_reply reply;
+        const bool isHead = read.request.method == method_head;
         if (read.error != error_kind::none) {
             m_events.add(rejectionCounter(read.error));
             reply = m_handler.refuse(read.error, std::move(read.detail));
@@ -232,13 +240,13 @@
         }
         isFirst = false;
         keepAlive = keepAlive && !m_draining && !reply.closeAfter;
-        if (reply.bodySource) {
+        if (reply.bodySource && !isHead) {
             if (!co_await sendChunkedBody(socket, std::move(reply), read.version, keepAlive))
                 co_return;
             continue;
         }
         const auto reservation = reply.reservation; // the body occupies memory until it is sent
-        const auto message = toMessage(std::move(reply), read.version, keepAlive);
+        const auto message = toMessage(std::move(reply), read.version, keepAlive, isHead);
         operation_deadline limit(socket, millis_clock::now() + reply_write_timeout);
         const auto [writeError, written] = co_await http::async_write(socket, message, as_result);
         if (writeError)
--- a/gooseberrymoor/http/request_fields_test.cpp
+++ b/gooseberrymoor/http/request_fields_test.cpp
@@ -52,6 +52,23 @@
 
 } // namespace
 
+// Guards against waiting callers: a HEAD request was answered with a body, which the caller took
+// for the beginning of the next reply.
+TEST_CASE("A HEAD request")
+{
+    server_fixture server;
+    const std::string reply = server.replyTo("HEAD / HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK(reply.starts_with("HTTP/1.1 200"));
+    CHECK(reply.find("Content-Length: 5\r\n") != std::string::npos);
+    CHECK(reply.ends_with("\r\n\r\n"));
+    SUBCASE("is followed by the next request on its connection")
+    {
+        const std::string next = server.replyTo("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        CHECK(next.starts_with("HTTP/1.1 200"));
+        CHECK(next.ends_with("hello"));
+    }
+}
+
 TEST_CASE("Fields that apply to one connection")
 {
     SUBCASE("of a request aren't forwarded")
