Refuse CONNECT and TRACE

CONNECT was forwarded as if it were a request.

Cause: any method was forwarded. A node has no tunnels and no diagnostics: both get 405 with Allow, before the body is read, and nothing is sent to a target.

request_fields_test "A method that the server refuses" fails on the code before.

--- a/gooseberrymoor/base/request_error.h
+++ b/gooseberrymoor/base/request_error.h
@@ -32,9 +32,10 @@
     malformed_answer,
     not_ready, // the node has no current configuration yet, or is isolated
     not_implemented, // the request uses a part of HTTP that the server doesn't have
+    method_not_allowed,
 };
 
-constexpr name_table<error_kind, 23> names(error_kind)
+constexpr name_table<error_kind, 24> names(error_kind)
 {
     return { { { error_kind::none, "none" },
                { error_kind::bad_request, "bad_request" },
@@ -58,7 +59,8 @@
                { error_kind::snapshot_unavailable, "snapshot_unavailable" },
                { error_kind::malformed_answer, "malformed_answer" },
                { error_kind::not_ready, "not_ready" },
-               { error_kind::not_implemented, "not_implemented" } } };
+               { error_kind::not_implemented, "not_implemented" },
+               { error_kind::method_not_allowed, "method_not_allowed" } } };
 }
 
 // Describes a request that was refused or failed. Value type.
--- a/gooseberrymoor/http/error_reply.cpp
+++ b/gooseberrymoor/http/error_reply.cpp
@@ -14,6 +14,8 @@
     case error_kind::unknown_service:
     case error_kind::unknown_shard:
         return 404;
+    case error_kind::method_not_allowed:
+        return 405;
     case error_kind::too_large:
         return 413;
     case error_kind::header_too_large:
--- a/gooseberrymoor/http/http_handler.h
+++ b/gooseberrymoor/http/http_handler.h
@@ -19,8 +19,9 @@
 
     // Returns the reply to a request that the server could not read: malformed or of a length that
     // is in doubt (`bad_request`), too large (`too_large`, `header_too_large`), too slow
-    // (`request_too_slow`), or in a coding that the server doesn't know (`not_implemented`). By
-    // default an error reply with the verdict `not_run`. `detail` is for the caller's developers.
+    // (`request_too_slow`), in a coding that the server doesn't know (`not_implemented`), or with a
+    // method that it refuses (`method_not_allowed`). By default an error reply with the verdict
+    // `not_run`. `detail` is for the caller's developers.
     virtual http_reply refuse(error_kind kind, std::string detail);
 
     // Called when a connection was accepted; returning false closes it immediately.
--- a/gooseberrymoor/http/http_server.cpp
+++ b/gooseberrymoor/http/http_server.cpp
@@ -26,6 +26,7 @@
 using tcp = asio::ip::tcp;
 using namespace asio::experimental::awaitable_operators;
 
+constexpr const char *allowed_methods = "GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS";
 constexpr duration accept_retry_delay {
     20
 }; // after a failed accept, e.g. with too many open files
@@ -230,6 +231,8 @@
         if (read.error != error_kind::none) {
             m_events.add(rejectionCounter(read.error));
             reply = m_handler.refuse(read.error, std::move(read.detail));
+            if (read.error == error_kind::method_not_allowed)
+                reply.headers.emplace_back("Allow", allowed_methods);
             keepAlive = false;
         } else {
             keepAlive = read.keepsAlive;
--- a/gooseberrymoor/http/request_fields_test.cpp
+++ b/gooseberrymoor/http/request_fields_test.cpp
@@ -69,6 +69,27 @@
     }
 }
 
+// Guards against lost places of connections: a TRACE request with a body, which HTTP forbids, ended
+// the task of a connection to a target.
+TEST_CASE("A method that the server refuses")
+{
+    server_fixture server;
+    std::string request;
+    SUBCASE("TRACE")
+    {
+        request = "TRACE / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx";
+    }
+    SUBCASE("CONNECT")
+    {
+        request = "CONNECT a:80 HTTP/1.1\r\nHost: a:80\r\n\r\n";
+    }
+    const std::string reply = server.replyTo(request);
+    CHECK(reply.starts_with("HTTP/1.1 405"));
+    CHECK(reply.find("Allow: GET, HEAD, POST") != std::string::npos);
+    CHECK(reply.find("Connection: close") != std::string::npos);
+    CHECK(server.handler.handled == 0);
+}
+
 TEST_CASE("Fields that apply to one connection")
 {
     SUBCASE("of a request aren't forwarded")
--- a/gooseberrymoor/http/request_reader.cpp
+++ b/gooseberrymoor/http/request_reader.cpp
@@ -27,6 +27,12 @@
     return request;
 }
 
+// Whether a server without tunnels and diagnostics refuses `method`.
+bool isRefusedMethod(http::verb method)
+{
+    return method == http::verb::connect || method == http::verb::trace;
+}
+
 // Rejects a request whose length can't be told for sure, or that `parser` would read in another
 // way.
 void checkFraming(const http::request_parser<http::string_body> &parser, received_request &result)
@@ -89,6 +95,8 @@
     if (error)
         co_return error;
     checkFraming(m_parser->get(), result);
+    if (result.error == error_kind::none && isRefusedMethod(m_parser->message().method()))
+        result.error = error_kind::method_not_allowed;
     if (result.error == error_kind::none)
         error = co_await readBody(m_socket, m_buffer, *m_parser);
     co_return error;
