Give back a connection's place when its task ends by an exception

Cause: runConnection cleaned up after its loop only.

Evidence: forward_test "Requests that end the task of a connection by an exception" on the code before: the first call never ends, "task_failed task=leaf_connection reason=invalid request body" on standard error. After: six such calls end as lost with two places, and the next one is answered.

Why this works: the loop is a task of its own; whatever ends it, its call is completed, the exception is logged with the target and counted, and the place is given back.

--- a/gooseberrymoor/forward/leaf_pool.cpp
+++ b/gooseberrymoor/forward/leaf_pool.cpp
@@ -333,16 +333,10 @@
                                                pooled_connection_ptr self,
                                                std::shared_ptr<leaf_call> call)
 {
-    bool usable = true;
-    if (!call)
-        usable = co_await connect(self, *target->target, millis_clock::now() + max_connect_time);
-    while (usable) {
-        if (!call)
-            call = co_await nextCall(target, self);
-        if (!call)
-            break;
-        usable = co_await performCall(target, self, call);
-        call.reset();
+    try {
+        co_await serveCalls(target, self, std::move(call));
+    } catch (const std::exception &error) {
+        onException(*target, *self, error);
     }
     const bool wasConnected = self->isConnected;
     self->http.close();
@@ -356,6 +350,36 @@
         startConnection(target, std::move(queued));
 }
 
+// Performs calls on a connection until it should be closed; first `call`, if there is one.
+asio::awaitable<void> leaf_pool::serveCalls(target_connections_ptr target,
+                                            pooled_connection_ptr self,
+                                            std::shared_ptr<leaf_call> call)
+{
+    bool usable = true;
+    if (!call)
+        usable = co_await connect(self, *target->target, millis_clock::now() + max_connect_time);
+    while (usable) {
+        if (!call)
+            call = co_await nextCall(target, self);
+        if (!call)
+            break;
+        usable = co_await performCall(target, self, call);
+        call.reset();
+    }
+}
+
+// Logs an exception that ended the task of a connection, and completes its call as lost.
+void leaf_pool::onException(const target_connections &target, pooled_connection &connection,
+                            const std::exception &error)
+{
+    m_events.add("leaf_connection_exceptions");
+    m_log.write("target_connection_failed",
+                { { "target", target.target->entry.id }, { "reason", error.what() } });
+    const auto call = std::move(connection.currentCall);
+    if (call)
+        completeWithFailure(*call, { verdict::may_have_run, false, error.what() });
+}
+
 // Waits for the next call for an open connection; null if the connection should be closed.
 asio::awaitable<std::shared_ptr<leaf_call>> leaf_pool::nextCall(target_connections_ptr target,
                                                                 pooled_connection_ptr self)
@@ -391,14 +415,15 @@
     http_request message = m_protocol.encode(*call->request, call->target->entry, remaining);
     const time_point limit = call->deadline + reply_margin;
     auto reply = co_await self->http.exchange(std::move(message), limit);
-    self->currentCall.reset();
     if (!reply) {
+        self->currentCall.reset();
         completeWithFailure(*call, reply.error());
         co_return false;
     }
     self->closeAt = millis_clock::now() + idleTimeOf(*reply);
     const bool keep = !reply->closeAfter && !reply->hasTrailingBytes;
     leaf_call_result result = m_protocol.decode(std::move(*reply), call->request->attemptId);
+    self->currentCall.reset();
     // After a reply to another request, requests and replies of the connection may be out of step.
     const bool isMismatched = result.isMismatched;
     if (isMismatched)
--- a/gooseberrymoor/forward/leaf_pool.h
+++ b/gooseberrymoor/forward/leaf_pool.h
@@ -7,6 +7,7 @@
 #include "gooseberrymoor/http/reply_limits.h"
 
 #include <deque>
+#include <exception>
 #include <map>
 #include <memory>
 #include <random>
@@ -85,6 +86,10 @@
                          std::shared_ptr<leaf_call> firstCall);
     asio::awaitable<void> runConnection(target_connections_ptr target, pooled_connection_ptr self,
                                         std::shared_ptr<leaf_call> call);
+    asio::awaitable<void> serveCalls(target_connections_ptr target, pooled_connection_ptr self,
+                                     std::shared_ptr<leaf_call> call);
+    void onException(const target_connections &target, pooled_connection &connection,
+                     const std::exception &error);
     asio::awaitable<std::shared_ptr<leaf_call>> nextCall(target_connections_ptr target,
                                                          pooled_connection_ptr self);
     asio::awaitable<bool> performCall(target_connections_ptr target, pooled_connection_ptr self,
--- a/gooseberrymoor/forward/leaf_pool_test.cpp
+++ b/gooseberrymoor/forward/leaf_pool_test.cpp
@@ -37,7 +37,7 @@
 public:
     http_request encode(const caller_request &request, const replica &, duration) const override
     {
-        http_request message(request.method, request.target);
+        http_request message(request.method, request.target, request.body);
         message.headers.emplace_back("Id", request.attemptId);
         return message;
     }
@@ -535,3 +535,29 @@
         }
     }
 }
+
+// Guards against lost places of connections: an exception ended the task of a connection to a
+// target, and its place and its call were never given back.
+TEST_CASE("Requests that end the task of a connection by an exception")
+{
+    constexpr int requests = 6; // more than there are places
+    fixture env;
+    auto request = std::make_shared<caller_request>();
+    request->method = "TRACE"; // with a body, which the HTTP library throws at
+    request->target = "/";
+    request->body = "x";
+    for (int i = 0; i < requests; ++i) {
+        env.send(request);
+        CHECK(env.next().outcome == attempt_outcome::lost);
+    }
+    CHECK(env.pool.openConnections() == 0);
+    CHECK(env.events.value("leaf_connection_exceptions") == requests);
+    CHECK(env.events.value("task_exceptions") == 0);
+
+    SUBCASE("cost no other request anything")
+    {
+        env.target.replies = { { good_reply } };
+        env.send("a1");
+        CHECK(env.next().outcome == attempt_outcome::answered);
+    }
+}
