--- a/gooseberrymoor/http/http_server.cpp
+++ b/gooseberrymoor/http/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "gooseberrymoor/base/cancellation.h"
 #include "gooseberrymoor/base/counters.h"
+#include "gooseberrymoor/base/event_log.h"
 #include "gooseberrymoor/base/task.h"
 #include "gooseberrymoor/base/timer.h"
 #include "gooseberrymoor/http/disconnect_monitor.h"
@@ -162,7 +163,8 @@
 
 void http_server::startServing(tcp::socket socket)
 {
-    if (!m_handler.onConnectionOpened()) {
+    const bool isFull = m_limits.connections > 0 && m_open >= m_limits.connections;
+    if (isFull || !m_handler.onConnectionOpened()) {
         m_events.add("http_connection_refused");
         return;
     }
@@ -194,8 +196,8 @@
     socket.set_option(tcp::no_delay(true), ignored);
     try {
         co_await serveRequests(socket);
-    } catch (const std::exception &) {
-        m_events.add("http_connection_exceptions");
+    } catch (const std::exception &error) {
+        onException(socket, error);
     }
     socket.shutdown(tcp::socket::shutdown_both, ignored);
     --m_open;
@@ -210,6 +212,19 @@
     return m_limits.idleTimeout > duration(0) ? m_limits.idleTimeout : no_limit;
 }
 
+// Logs an exception that ended the task of a connection.
+void http_server::onException(const tcp::socket &socket, const std::exception &error)
+{
+    m_events.add("http_connection_exceptions");
+    if (!m_log)
+        return;
+    boost::system::error_code ignored;
+    const tcp::endpoint client = socket.remote_endpoint(ignored);
+    m_log->write("connection_failed",
+                 { { "client", toString({ client.address().to_string(), client.port() }) },
+                   { "reason", error.what() } });
+}
+
 asio::awaitable<received_request> http_server::readRequest(request_reader &reader)
 {
     const reading_entry entry(m_reading, reader);
--- a/gooseberrymoor/http/http_server.h
+++ b/gooseberrymoor/http/http_server.h
@@ -8,6 +8,7 @@
 #include <tl/expected.hpp>
 
 #include <cstddef>
+#include <exception>
 #include <memory>
 #include <set>
 #include <string>
@@ -15,6 +16,7 @@
 namespace gooseberrymoor {
 
 class counters;
+class event_log;
 class http_handler;
 class request_reader;
 struct http_reply;
@@ -35,6 +37,10 @@
     // Sets the limits of requests; they apply from the next request of each connection on.
     void setLimits(http_limits limits) { m_limits = limits; }
 
+    // Logs exceptions that end the task of a connection to `log`, which must outlive the server's
+    // tasks.
+    void setLog(event_log &log) { m_log = &log; }
+
     // Each connection closes after its next reply, which announces it to the client.
     void startDraining();
 
@@ -54,6 +60,7 @@
     void acceptPending();
     void startServing(asio::ip::tcp::socket socket);
     duration idleTimeout() const;
+    void onException(const asio::ip::tcp::socket &socket, const std::exception &error);
     asio::awaitable<void> serve(asio::ip::tcp::socket socket);
     asio::awaitable<received_request> readRequest(request_reader &reader);
     asio::awaitable<void> serveRequests(asio::ip::tcp::socket &socket);
@@ -63,6 +70,7 @@
     asio::any_io_executor m_executor;
     http_handler &m_handler;
     counters &m_events;
+    event_log *m_log = nullptr; // may be null
     http_limits m_limits;
     asio::ip::tcp::acceptor m_acceptor;
     std::size_t m_open = 0;
--- a/gooseberrymoor/http/http_test.cpp
+++ b/gooseberrymoor/http/http_test.cpp
@@ -347,6 +347,28 @@
         sendAndClose("");
         CHECK(received.empty());
     }
+    SUBCASE("a connection above their number is closed at once")
+    {
+        limits.connections = 1;
+        server.server.setLimits(limits);
+        asio::io_context clientContext; // its operations are synchronous
+        std::vector<asio::ip::tcp::socket> clients;
+        for (int i = 0; i < 2; ++i) {
+            clients.emplace_back(clientContext);
+            clients.back().connect(
+                { asio::ip::make_address(server_address.address), server_address.port });
+        }
+        server.context.poll();
+        CHECK(server.server.openConnections() == 1);
+        CHECK(server.events.value("http_connection_refused") == 1);
+        std::array<char, 1> byte {};
+        boost::system::error_code error;
+        clients.back().read_some(asio::buffer(byte), error);
+        CHECK(error == asio::error::eof);
+        clients.clear();
+        server.server.stopAccepting();
+        server.context.run();
+    }
     SUBCASE("a valid request is handled")
     {
         sendAndClose("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
