Limit a header as a whole, however it arrives

What callers and targets could do, by a test: a header whose segments each ended with the first letter of the next field was never too large, and a node kept all of it until the request's or reply's time had passed.

Cause: Beast's parser applies header_limit to what it has not parsed yet. It parses whole fields as they come, and waits for the header's end only if three bytes or more are left over. Ruled out by the same test: segments that end with a field or in its middle, where the limit holds.

Evidence: http_test "A request whose header has no end" (third section) and "A reply whose header has no end" fail on the code before and pass after.

--- a/gooseberrymoor/http/http_connection.cpp
+++ b/gooseberrymoor/http/http_connection.cpp
@@ -187,7 +187,7 @@
         incremental_parser<response_parser> incremental;
         response_parser &parser = incremental.get();
         parser.skip(method == method_head);
-        parser.header_limit(limits.headerBytes);
+        incremental.setHeaderLimit(limits.headerBytes);
         parser.body_limit(limits.bodyBytes);
         if (const auto error = co_await readHeader(socket, buffer, incremental))
             co_return tl::unexpected(makeFailure(verdict::may_have_run, limit.hasPassed(), error));
--- a/gooseberrymoor/http/incremental_parser.h
+++ b/gooseberrymoor/http/incremental_parser.h
@@ -5,7 +5,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include <cstddef>
-#include <utility>
+#include <cstdint>
 
 namespace gooseberrymoor {
 
@@ -14,7 +14,8 @@
 //
 // Beast requires the bytes of a partial chunk header again, together with those that follow, and
 // that these are at least as many as the shortest end of a chunked body has, once it has seen the
-// line of the last chunk. This class keeps to that.
+// line of the last chunk. This class keeps to that. It also limits the header as a whole: Beast
+// limits what it has not parsed yet.
 template <typename Parser> class incremental_parser
 {
 public:
@@ -27,21 +28,33 @@
     // The message as far as it is parsed.
     auto &message() { return m_parser.get(); }
 
+    // Sets the largest size of the header, in bytes.
+    void setHeaderLimit(std::uint32_t bytes)
+    {
+        m_headerLimit = bytes;
+        m_parser.header_limit(bytes);
+    }
+
     bool isHeaderDone() const { return m_parser.is_header_done(); }
     bool isDone() const { return m_parser.is_done(); }
 
-    // Parses and removes what it can from the front of `buffer`: the header at most while
-    // `isHeaderDone` is false and the parser is not eager. Returns `need_more` if nothing more can
-    // be parsed before further bytes have arrived, and another error if the message is malformed.
-    // Parses nothing of an unchanged buffer after `need_more`.
+    // Parses and removes what it can from the front of `buffer`. The parser must not be eager
+    // before its header is done; the call that ends the header parses nothing of the body. Returns
+    // `need_more` if nothing more can be parsed before further bytes have arrived, and another
+    // error if the message is malformed. Parses nothing of an unchanged buffer after `need_more`.
     error_code parse(boost::beast::flat_buffer &buffer)
     {
         if (isDone())
             return {};
         if (buffer.size() <= m_unparsedBytes || isShortOfChunkHeader(buffer))
             return boost::beast::http::error::need_more;
+        const bool isHeader = !isHeaderDone();
         error_code error;
-        buffer.consume(m_parser.put(buffer.data(), error));
+        const std::size_t parsedBytes = m_parser.put(buffer.data(), error);
+        buffer.consume(parsedBytes);
+        m_headerBytes += isHeader ? parsedBytes : 0;
+        if (m_headerBytes > m_headerLimit)
+            return boost::beast::http::error::header_limit;
         const bool needsMore = error == boost::beast::http::error::need_more;
         m_unparsedBytes = needsMore ? buffer.size() : 0;
         return error;
@@ -71,7 +84,11 @@
         return isHeaderDone() && m_unparsedBytes > 0 && buffer.size() < shortest_chunked_end_bytes;
     }
 
+    static constexpr std::uint32_t default_header_limit = 8192; // that of Beast
+
     Parser m_parser;
+    std::uint32_t m_headerLimit = default_header_limit;
+    std::size_t m_headerBytes = 0; // parsed
     std::size_t m_unparsedBytes = 0; // at the front of the buffer, seen by the parser before
 };
 
--- a/gooseberrymoor/http/reply_framing_test.cpp
+++ b/gooseberrymoor/http/reply_framing_test.cpp
@@ -117,3 +117,19 @@
         CHECK(second->body == "z");
     }
 }
+
+// Guards against memory that a target fills: the HTTP parser applies its limit of the header to
+// what it has not parsed yet, so that fields which came one by one were never too many.
+TEST_CASE("A reply whose header has no end, with a field and a letter in each segment")
+{
+    constexpr int fields = 1000; // of 100 bytes and more: far above the limit
+    exchange_fixture client(server_address);
+    pieces reply { "HTTP/1.1 200 OK\r\nX" };
+    for (int i = 0; i < fields; ++i)
+        reply.push_back(": " + std::string(100, 'x') + "\r\nX");
+    reply.push_back(": y\r\nContent-Length: 0\r\n\r\n");
+    const auto result = client.exchange(reply);
+    REQUIRE(!result);
+    CHECK(result.error().isTooLarge);
+    CHECK(!client.isOpen());
+}
--- a/gooseberrymoor/http/request_pieces_test.cpp
+++ b/gooseberrymoor/http/request_pieces_test.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 const endpoint server_address { "127.0.0.1", 18092 };
+constexpr std::size_t max_header_bytes = 4096;
 constexpr std::size_t max_body_bytes = 1024;
 
 // Replies with what it has read of a request.
@@ -36,7 +37,14 @@
 class server_fixture
 {
 public:
-    server_fixture() { REQUIRE(m_server.start(server_address)); }
+    server_fixture()
+    {
+        http_limits limits;
+        limits.headerBytes = max_header_bytes;
+        limits.bodyBytes = max_body_bytes;
+        m_server.setLimits(limits);
+        REQUIRE(m_server.start(server_address));
+    }
 
     // Sends a request on the open connection and returns the reply.
     std::string replyTo(const pieces &request)
@@ -64,6 +72,18 @@
         return isClosed && m_handler.handled == handledBefore;
     }
 
+    // Sends `beginning`, and then `piece` again and again until the server replies or has got
+    // `maxBytes`. Returns its reply.
+    std::string replyToEndless(const std::string &beginning, const std::string &piece,
+                               std::size_t maxBytes)
+    {
+        scripted_peer client = scripted_peer::connect(m_context, server_address);
+        client.send({ beginning });
+        for (std::size_t sent = 0; sent < maxBytes && !client.hasReceived(); sent += piece.size())
+            client.send({ piece });
+        return client.hasReceived() ? client.receive() : "";
+    }
+
     int handled() const { return m_handler.handled; }
     std::uint64_t exceptions() const { return m_events.value("http_connection_exceptions"); }
 
@@ -155,3 +175,27 @@
     CHECK(server.replyTo({ request }).starts_with("HTTP/1.1 200"));
     CHECK(server.exceptions() == 0);
 }
+
+// Guards against memory that a client fills: the HTTP parser applies its limit of the header to
+// what it has not parsed yet, so that fields which came one by one were never too many.
+TEST_CASE("A request whose header has no end")
+{
+    server_fixture server;
+    std::string beginning = "GET / HTTP/1.1\r\nHost: a\r\n";
+    std::string field;
+    SUBCASE("with a field in each segment")
+    {
+        field = "X: " + std::string(100, 'x') + "\r\n";
+    }
+    SUBCASE("with a part of a field in each segment")
+    {
+        field = std::string(100, 'x');
+    }
+    SUBCASE("with a field and the first letter of the next in each segment")
+    {
+        beginning += "X";
+        field = ": " + std::string(100, 'x') + "\r\nX";
+    }
+    const std::string reply = server.replyToEndless(beginning, field, 4 * max_header_bytes);
+    CHECK(reply.starts_with("HTTP/1.1 431"));
+}
--- a/gooseberrymoor/http/request_reader.cpp
+++ b/gooseberrymoor/http/request_reader.cpp
@@ -107,7 +107,7 @@
     received_request result;
     m_parser.emplace();
     m_parser->get().body_limit(limits.bodyBytes);
-    m_parser->get().header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+    m_parser->setHeaderLimit(static_cast<std::uint32_t>(limits.headerBytes));
     result.isConnectionDone = !co_await waitForFirstByte(idleTimeout);
     if (result.isConnectionDone)
         co_return result;
--- a/testing/scripted_peer.h
+++ b/testing/scripted_peer.h
@@ -62,6 +62,13 @@
         return received;
     }
 
+    // Whether bytes have arrived that `receive` would return.
+    bool hasReceived()
+    {
+        boost::system::error_code ignored;
+        return m_socket.available(ignored) > 0;
+    }
+
     // Ends the connection in order.
     void close()
     {
