Bound what a server keeps of a chunk's extension and trailers

What callers could do, by a test: send a chunk's extension or a trailer without end, all of which a node kept until the request's time had passed.

Cause: the parser leaves a partial chunk header in the connection's buffer, and the server's buffer had no limit.

Why this works: the buffer holds a header of the largest size and 32 kB; a request that needs more gets 431.

--- a/gooseberrymoor/http/request_pieces_test.cpp
+++ b/gooseberrymoor/http/request_pieces_test.cpp
@@ -199,3 +199,23 @@
     const std::string reply = server.replyToEndless(beginning, field, 4 * max_header_bytes);
     CHECK(reply.starts_with("HTTP/1.1 431"));
 }
+
+// Guards against memory that a client fills: nothing bounded what the server kept of a chunk's
+// extension or of the trailers.
+TEST_CASE("A chunked request that goes on without content")
+{
+    server_fixture server;
+    const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::string beginning;
+    SUBCASE("in an extension")
+    {
+        beginning = head + "1;";
+    }
+    SUBCASE("in trailers")
+    {
+        beginning = head + "0\r\nT: ";
+    }
+    const std::string reply
+        = server.replyToEndless(beginning, std::string(1000, 'x'), 64 * max_header_bytes);
+    CHECK(reply.starts_with("HTTP/1.1 431"));
+}
--- a/gooseberrymoor/http/request_reader.cpp
+++ b/gooseberrymoor/http/request_reader.cpp
@@ -16,6 +16,9 @@
 using tcp = asio::ip::tcp;
 using message = http::request<http::string_body>;
 
+// Bytes received and not parsed yet, beside a header. Bounds what no other limit does, such as a
+// chunk's extension.
+constexpr std::size_t max_buffered_bytes = 32ULL * 1024;
 constexpr duration no_limit { 24 * 3'600'000 }; // used as the timeout if a limit is 0
 
 http_request toRequest(message received)
@@ -49,7 +52,7 @@
 {
     if (error == http::error::body_limit)
         return error_kind::too_large;
-    if (error == http::error::header_limit)
+    if (error == http::error::header_limit || error == http::error::buffer_overflow)
         return error_kind::header_too_large;
     return error_kind::bad_request;
 }
@@ -106,6 +109,7 @@
 {
     received_request result;
     m_parser.emplace();
+    m_buffer.max_size(limits.headerBytes + max_buffered_bytes);
     m_parser->get().body_limit(limits.bodyBytes);
     m_parser->setHeaderLimit(static_cast<std::uint32_t>(limits.headerBytes));
     result.isConnectionDone = !co_await waitForFirstByte(idleTimeout);
