--- a/testing/fuzz/decoder_fuzz_test.cpp
+++ b/testing/fuzz/decoder_fuzz_test.cpp
@@ -1,3 +1,4 @@
+#include "fuzz_size.h"
 #include "mutator.h"
 
 #include "gooseberrymoor/fleet/fleet_member.h"
@@ -23,7 +24,6 @@
 
 #include <doctest/doctest.h>
 
-#include <cstdlib>
 #include <functional>
 #include <sstream>
 #include <string>
@@ -34,8 +34,6 @@
 namespace {
 
 const time_point now { duration(1'000'000'000) };
-constexpr std::uint32_t default_seed = 1;
-constexpr int default_inputs = 4000; // for each decoder
 
 // Passes an input to a decoder and uses what it accepts; returns whether it was accepted.
 using decode_input = std::function<bool(const std::string &)>;
@@ -50,18 +48,6 @@
     return { bytes.begin(), bytes.end() };
 }
 
-// The environment variable FUZZ="SEED INPUTS" replaces the seed and the number of inputs.
-struct fuzz_size
-{
-    fuzz_size()
-    {
-        if (const char *given = std::getenv("FUZZ"))
-            std::istringstream(given) >> seed >> inputs;
-    }
-    std::uint32_t seed = default_seed;
-    int inputs = default_inputs;
-};
-
 // Decodes mutated samples. A fault of the decoder ends the process: the program is built with
 // sanitizers. The samples themselves must be accepted.
 void fuzz(const std::vector<std::string> &samples, const decode_input &decode)
