--- a/gooseberrymoor/http/message_reader.h
+++ b/gooseberrymoor/http/message_reader.h
@@ -6,17 +6,16 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/read_size.hpp>
 
 namespace gooseberrymoor {
 
-// Receives once from `socket` and appends to `buffer`. Returns `buffer_overflow` if that is full,
-// and `eof` if the other side has closed the connection.
-asio::awaitable<boost::system::error_code> receiveInto(asio::ip::tcp::socket &socket,
-                                                       boost::beast::flat_buffer &buffer);
+constexpr std::size_t max_receive_bytes = 64ULL * 1024; // at once
 
 // Parses what `buffer` holds of a message and, if that is not enough to get further, receives once
-// from `socket` and parses that. Returns an error if the message is malformed or broken off, or
-// `end_of_stream` if the connection ended before it. The arguments must outlive the task.
+// from `socket` and parses that. Returns an error if the message is malformed or broken off,
+// `buffer_overflow` if `buffer` is full, or `end_of_stream` if the connection ended before the
+// message. The arguments must outlive the task.
 template <typename Parser>
 asio::awaitable<boost::system::error_code> readSome(asio::ip::tcp::socket &socket,
                                                     boost::beast::flat_buffer &buffer,
@@ -25,11 +24,16 @@
     boost::system::error_code error = parser.parse(buffer);
     if (error != boost::beast::http::error::need_more)
         co_return error;
-    error = co_await receiveInto(socket, buffer);
-    if (error == asio::error::eof)
+    const std::size_t freeBytes = boost::beast::read_size(buffer, max_receive_bytes);
+    if (freeBytes == 0)
+        co_return boost::beast::http::error::buffer_overflow;
+    const auto [receiveError, size]
+        = co_await socket.async_read_some(buffer.prepare(freeBytes), as_result);
+    buffer.commit(size);
+    if (receiveError == asio::error::eof)
         co_return parser.parseEnd();
-    if (error)
-        co_return error;
+    if (receiveError)
+        co_return receiveError;
     error = parser.parse(buffer);
     co_return error == boost::beast::http::error::need_more ? boost::system::error_code() : error;
 }
--- a/gooseberrymoor/http/request_reader.cpp
+++ b/gooseberrymoor/http/request_reader.cpp
@@ -100,7 +100,7 @@
     checkFraming(m_parser->get(), result);
     if (result.error == error_kind::none && isRefusedMethod(m_parser->message().method()))
         result.error = error_kind::method_not_allowed;
-    if (result.error == error_kind::none)
+    if (result.error == error_kind::none && !m_parser->isDone())
         error = co_await readBody(m_socket, m_buffer, *m_parser);
     co_return error;
 }
