--- a/gooseberrymoor/http/request_framing_test.cpp
+++ b/gooseberrymoor/http/request_framing_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -23,10 +24,13 @@
     asio::awaitable<http_reply> handle(http_request request) override
     {
         bodies.push_back(request.body);
+        if (onRequest)
+            onRequest();
         co_return http_reply(200, request.method);
     }
 
     std::vector<std::string> bodies;
+    std::function<void()> onRequest; // called for each; may be empty
 };
 
 // A server of the product, to which tests send bytes.
@@ -192,3 +196,27 @@
     CHECK(reply.starts_with("HTTP/1.1 200"));
     CHECK(server.handler.bodies == std::vector<std::string> { "hello" });
 }
+
+TEST_CASE("The limits of requests fall while the next request waits")
+{
+    constexpr std::size_t high_limit = 256 * 1024;
+    constexpr std::size_t low_limit = 1024;
+    server_fixture server;
+    http_limits limits;
+    limits.headerBytes = high_limit;
+    server.server.setLimits(limits);
+    server.handler.onRequest = [&] {
+        limits.headerBytes = low_limit;
+        server.server.setLimits(limits);
+    };
+    std::string request = "GET / HTTP/1.1\r\nHost: a\r\n";
+    for (int field = 0; field < 7; ++field)
+        request += "X: " + std::string(20'000, 'x') + "\r\n";
+    request += "\r\n";
+    const std::string next = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1;"
+        + std::string(100'000, 'x');
+    const std::string replies = server.replyTo(request + next);
+    CHECK(replies.starts_with("HTTP/1.1 200"));
+    CHECK(replies.find("HTTP/1.1 431") != std::string::npos);
+    CHECK(server.handler.bodies.size() == 1);
+}
--- a/gooseberrymoor/http/request_reader.cpp
+++ b/gooseberrymoor/http/request_reader.cpp
@@ -8,6 +8,8 @@
 
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
+
 namespace gooseberrymoor {
 
 namespace {
@@ -109,7 +111,8 @@
 {
     received_request result;
     m_parser.emplace();
-    m_buffer.max_size(limits.headerBytes + max_buffered_bytes);
+    // It may hold more than that already, if the limits have changed.
+    m_buffer.max_size(std::max(m_buffer.size(), limits.headerBytes + max_buffered_bytes));
     m_parser->get().body_limit(limits.bodyBytes);
     m_parser->setHeaderLimit(static_cast<std::uint32_t>(limits.headerBytes));
     result.isConnectionDone = !co_await waitForFirstByte(idleTimeout);
