Reject a field that is longer than the HTTP library can store

What callers saw, by the fuzzer: with a limit of the header above 64 kB, a request with a longer field got no reply, and a reply with one ended its connection's task by an exception.

Cause: Beast stores a field's length in 16 bits and throws at a longer one, in headers and in trailers.

Why this works: incremental_parser catches that exception where the parser is called, for all readers, and takes the header for too large.

--- a/gooseberrymoor/http/incremental_parser.h
+++ b/gooseberrymoor/http/incremental_parser.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <stdexcept>
 
 namespace gooseberrymoor {
 
@@ -50,7 +51,7 @@
             return boost::beast::http::error::need_more;
         const bool isHeader = !isHeaderDone();
         error_code error;
-        const std::size_t parsedBytes = m_parser.put(buffer.data(), error);
+        const std::size_t parsedBytes = put(buffer, error);
         buffer.consume(parsedBytes);
         m_headerBytes += isHeader ? parsedBytes : 0;
         if (m_headerBytes > m_headerLimit)
@@ -75,6 +76,17 @@
     }
 
 private:
+    // Parses `buffer`; returns how many bytes were parsed.
+    std::size_t put(const boost::beast::flat_buffer &buffer, error_code &error)
+    {
+        try {
+            return m_parser.put(buffer.data(), error);
+        } catch (const std::length_error &) { // a field is longer than Beast can store
+            error = boost::beast::http::error::header_limit;
+            return 0;
+        }
+    }
+
     // "0" CR LF CR LF
     static constexpr std::size_t shortest_chunked_end_bytes = 5;
 
--- a/gooseberrymoor/http/request_framing_test.cpp
+++ b/gooseberrymoor/http/request_framing_test.cpp
@@ -220,3 +220,27 @@
     CHECK(replies.find("HTTP/1.1 431") != std::string::npos);
     CHECK(server.handler.bodies.size() == 1);
 }
+
+// Guards against connections that end without a reply: the HTTP library throws at a field that is
+// longer than it can store, which only high limits let through.
+TEST_CASE("A field of more than 64 kB")
+{
+    server_fixture server;
+    http_limits limits;
+    limits.headerBytes = 256 * 1024;
+    server.server.setLimits(limits);
+    std::string field(70'000, 'x');
+    field.append("\r\n\r\n");
+    std::string request;
+    SUBCASE("in the header")
+    {
+        request = "GET / HTTP/1.1\r\nHost: a\r\nX: " + field;
+    }
+    SUBCASE("in the trailers")
+    {
+        request
+            = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " + field;
+    }
+    CHECK(server.replyTo(request).starts_with("HTTP/1.1 431"));
+    CHECK(server.events.value("http_connection_exceptions") == 0);
+}
