--- a/gooseberrymoor/base/crash_log.cpp
+++ b/gooseberrymoor/base/crash_log.cpp
@@ -49,7 +49,7 @@
     const auto day = std::chrono::floor<std::chrono::days>(time);
     const std::chrono::year_month_day date(day);
     const std::chrono::hh_mm_ss timeOfDay(time - day);
-    constexpr std::int64_t nanoseconds_per_millisecond = 1'000'000;
+    constexpr std::int64_t nanosecondsPerMillisecond = 1'000'000;
     line.appendNumber(static_cast<std::uint64_t>(static_cast<int>(date.year())), 4);
     line.append("-");
     line.appendNumber(static_cast<unsigned>(date.month()), 2);
@@ -62,7 +62,7 @@
     line.append(":");
     line.appendNumber(static_cast<std::uint64_t>(timeOfDay.seconds().count()), 2);
     line.append(".");
-    line.appendNumber(static_cast<std::uint64_t>(now.tv_nsec / nanoseconds_per_millisecond), 3);
+    line.appendNumber(static_cast<std::uint64_t>(now.tv_nsec / nanosecondsPerMillisecond), 3);
     line.append("Z");
 }
 
--- a/gooseberrymoor/http/request_framing_test.cpp
+++ b/gooseberrymoor/http/request_framing_test.cpp
@@ -199,14 +199,14 @@
 
 TEST_CASE("The limits of requests fall while the next request waits")
 {
-    constexpr std::size_t high_limit = 256 * 1024;
-    constexpr std::size_t low_limit = 1024;
+    constexpr std::size_t highLimit = 256 * 1024;
+    constexpr std::size_t lowLimit = 1024;
     server_fixture server;
     http_limits limits;
-    limits.headerBytes = high_limit;
+    limits.headerBytes = highLimit;
     server.server.setLimits(limits);
     server.handler.onRequest = [&] {
-        limits.headerBytes = low_limit;
+        limits.headerBytes = lowLimit;
         server.server.setLimits(limits);
     };
     std::string request = "GET / HTTP/1.1\r\nHost: a\r\n";
